--- /dev/null
+++ b/crates/admission/src/lib.rs
@@ -0,0 +1,1 @@
+//! Attempt ledger, slots and fair queue.
--- /dev/null
+++ b/crates/caller/src/lib.rs
@@ -0,0 +1,1 @@
+//! HTTP server for callers.
--- /dev/null
+++ b/crates/config/src/lib.rs
@@ -0,0 +1,1 @@
+//! Replica of the platform objects.
--- /dev/null
+++ b/crates/health/src/lib.rs
@@ -0,0 +1,1 @@
+//! Outlier detection and ejection.
--- /dev/null
+++ b/crates/limits/src/lib.rs
@@ -0,0 +1,1 @@
+//! Rate limits with granted allowances.
--- /dev/null
+++ b/crates/membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Quorum lease, peers, relays, partitions.
--- /dev/null
+++ b/crates/model/src/lib.rs
@@ -0,0 +1,29 @@
+//! Domain types shared by all crates: identifiers, sizes, rates, labels, platform objects and
+//! result codes.
+//!
+//! Nothing here does I/O or reads a clock. [`Time`] values are always passed in by the caller, so
+//! every core that builds on this crate runs unchanged under virtual time.
+
+mod hash;
+mod ids;
+mod key;
+mod labels;
+mod object;
+mod result_code;
+mod time;
+mod units;
+
+pub use hash::{rendezvous_score, stable_hash};
+pub use ids::{
+    AccountName, AttemptId, EndpointName, Epoch, FailureDomain, IdError, Incarnation, KeyId,
+    NodeName, PartitionId, RequestId, Revision, RouteName, ServiceName, WriteId,
+};
+pub use key::{CallerKey, KeyDigest, KeyError};
+pub use labels::{Labels, Selector, SelectorError};
+pub use object::{
+    Access, Account, DocumentError, Endpoint, EndpointMark, EndpointState, Key, Kind, NodeRecord,
+    Object, ObjectKey, PartitionRecord, Route, StoredObject,
+};
+pub use result_code::{Outcome, ResultCode};
+pub use time::Time;
+pub use units::{Burst, Percent, Rate, Slots, Tokens, UnitError};
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,1 @@
+//! The node process.
--- /dev/null
+++ b/crates/operator/src/lib.rs
@@ -0,0 +1,1 @@
+//! Operator port and commands.
--- /dev/null
+++ b/crates/peer/src/lib.rs
@@ -0,0 +1,1 @@
+//! Links to other nodes.
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Client of the object API.
--- /dev/null
+++ b/crates/routing/src/lib.rs
@@ -0,0 +1,1 @@
+//! Endpoint choice and retries.
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! INI settings.
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins of platform and upstream for tests and demo.
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Frames between nodes.
--- /dev/null
+++ b/crates/zinniacross/src/main.rs
@@ -0,0 +1,3 @@
+//! The zinniacross binary.
+
+fn main() {}
--- /dev/null
+++ b/xtask/src/measure/calls.rs
@@ -0,0 +1,8 @@
+//! Measures choice of endpoints and the fair queue.
+
+use eyre::Result;
+
+/// Prints the table of measures.
+pub fn run() -> Result<()> {
+    Ok(())
+}
--- /dev/null
+++ b/xtask/src/slopes/mod.rs
@@ -0,0 +1,16 @@
+//! Slopes that the capacity page is worked out from.
+
+mod config;
+mod health;
+mod limits;
+mod routing;
+
+use eyre::Result;
+
+/// Runs every slope and prints its table.
+pub fn run() -> Result<()> {
+    config::run()?;
+    limits::run()?;
+    routing::run()?;
+    health::run()
+}
