Add bodies in transit, the frames between nodes and the links that carry them

Bodies end with an explicit last chunk, because a channel that merely closes would let a truncated body pass for a whole one. A call link carries one call at a time; multiplexing was ruled out, since it needs its own flow control and a check that answers can't be mixed. Not measured yet.

--- /dev/null
+++ b/crates/peer/src/link.rs
@@ -0,0 +1,118 @@
+//! One WebSocket connection that carries frames.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use futures_util::{FutureExt, SinkExt, StreamExt};
+use model::ResultCode;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+use tokio_tungstenite::tungstenite::Message;
+use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
+use tokio_tungstenite::{WebSocketStream, accept_async_with_config, client_async_with_config};
+use wire::{DecodeError, Frame, MAX_FRAME_BYTES};
+
+/// Time allowed for TCP and WebSocket to connect. A connection takes about 1 ms, so a second covers
+/// one lost SYN.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1500);
+
+/// A link failed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum LinkError {
+    /// The connection could not be made.
+    Connect(Box<str>),
+    /// The connection was closed or broke.
+    Closed,
+    /// The peer did not answer in time.
+    TimedOut,
+    /// The peer sent bytes that are not a valid frame.
+    Invalid(DecodeError),
+    /// The peer refused.
+    Rejected(ResultCode),
+    /// The peer sent a frame that is not allowed here.
+    Unexpected,
+    /// The peer did not prove the fleet secret.
+    Unauthenticated,
+}
+
+impl fmt::Display for LinkError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            LinkError::Connect(reason) => write!(f, "connecting failed: {reason}"),
+            LinkError::Closed => f.write_str("the connection was closed"),
+            LinkError::TimedOut => f.write_str("the peer did not answer in time"),
+            LinkError::Invalid(err) => err.fmt(f),
+            LinkError::Rejected(code) => write!(f, "the peer refused: {code}"),
+            LinkError::Unexpected => ResultCode::FrameUnexpected.fmt(f),
+            LinkError::Unauthenticated => ResultCode::PeerUnauthenticated.fmt(f),
+        }
+    }
+}
+
+impl std::error::Error for LinkError {}
+
+/// A connection that carries frames.
+pub struct Link {
+    ws: WebSocketStream<TcpStream>,
+}
+
+impl Link {
+    /// Connects to a node; the handshake of the fleet comes after this.
+    pub(crate) async fn connect(addr: SocketAddr) -> Result<Link, LinkError> {
+        timeout(CONNECT_TIMEOUT, connect(addr)).await.map_err(|_| LinkError::TimedOut)?
+    }
+
+    /// Takes over a connection that a node has made to this one.
+    pub(crate) async fn accept(stream: TcpStream) -> Result<Link, LinkError> {
+        let _ = stream.set_nodelay(true);
+        let accepted = timeout(CONNECT_TIMEOUT, accept_async_with_config(stream, Some(config())));
+        let ws = accepted.await.map_err(|_| LinkError::TimedOut)?;
+        Ok(Link { ws: ws.map_err(|err| LinkError::Connect(err.to_string().into()))? })
+    }
+
+    /// Sends a frame.
+    pub async fn send(&mut self, frame: &Frame) -> Result<(), LinkError> {
+        let message = Message::Binary(wire::encode(frame).into());
+        self.ws.send(message).await.map_err(|_| LinkError::Closed)
+    }
+
+    /// Receives the next frame. Dropping the future loses nothing.
+    pub async fn recv(&mut self) -> Result<Frame, LinkError> {
+        loop {
+            let message = match self.ws.next().await {
+                None | Some(Err(_)) => return Err(LinkError::Closed),
+                Some(Ok(message)) => message,
+            };
+            match message {
+                Message::Binary(bytes) => return wire::decode(&bytes).map_err(LinkError::Invalid),
+                Message::Close(_) => return Err(LinkError::Closed),
+                Message::Text(_) => return Err(LinkError::Unexpected),
+                // The WebSocket library answers pings itself.
+                Message::Ping(_) | Message::Pong(_) | Message::Frame(_) => {}
+            }
+        }
+    }
+
+    /// Tells whether an idle link can still be used. Anything that can be read from an idle link,
+    /// the end of the connection included, makes it unusable.
+    pub(crate) fn is_usable(&mut self) -> bool {
+        self.ws.next().now_or_never().is_none()
+    }
+}
+
+async fn connect(addr: SocketAddr) -> Result<Link, LinkError> {
+    let failed = |err: &dyn fmt::Display| LinkError::Connect(err.to_string().into());
+    let stream = TcpStream::connect(addr).await.map_err(|err| failed(&err))?;
+    stream.set_nodelay(true).map_err(|err| failed(&err))?;
+    let url = format!("ws://{addr}/peer");
+    let (ws, _) =
+        client_async_with_config(url, stream, Some(config())).await.map_err(|err| failed(&err))?;
+    Ok(Link { ws })
+}
+
+fn config() -> WebSocketConfig {
+    WebSocketConfig::default()
+        .max_message_size(Some(MAX_FRAME_BYTES))
+        .max_frame_size(Some(MAX_FRAME_BYTES))
+}
--- /dev/null
+++ b/crates/peer/src/server.rs
@@ -0,0 +1,259 @@
+//! The accepting side of links.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use log::warn;
+use model::{AttemptId, ResultCode};
+use payload::{Payload, PayloadSender};
+use tokio::net::{TcpListener, TcpStream};
+use wire::{AnswerHead, Call, Chunk, EndpointLoad, Frame, Header, MAX_CHUNK_BYTES, Purpose};
+
+use crate::PeerInfo;
+use crate::handshake::{Identity, accept};
+use crate::link::{Link, LinkError};
+
+/// What became of an attempt at the node before its upstream.
+#[derive(Debug)]
+pub enum CallReply {
+    /// It did not run.
+    Refused {
+        /// Why.
+        code: ResultCode,
+        /// Load of the endpoint, if this node has it.
+        load: Option<EndpointLoad>,
+    },
+    /// The outcome is unknown.
+    Failed(ResultCode),
+    /// The upstream answered.
+    Answer {
+        /// HTTP status.
+        status: u16,
+        /// Headers.
+        headers: Vec<Header>,
+        /// Body.
+        body: Payload,
+        /// Load of the endpoint.
+        load: EndpointLoad,
+    },
+}
+
+/// A reply that is still being worked on. Dropping it cancels the attempt.
+pub type PendingReply = Pin<Box<dyn Future<Output = CallReply> + Send>>;
+
+/// Handles what other nodes send.
+pub trait PeerHandler: Send + Sync {
+    /// Replies to a request on a control link.
+    fn control(&self, peer: &PeerInfo, frame: Frame) -> Frame;
+    /// Runs an attempt.
+    fn call(&self, peer: &PeerInfo, call: Call, body: Payload) -> PendingReply;
+}
+
+/// Accepts links until the task is dropped.
+pub async fn serve(listener: TcpListener, identity: Identity, handler: Arc<dyn PeerHandler>) {
+    loop {
+        let (stream, addr) = match listener.accept().await {
+            Ok(accepted) => accepted,
+            Err(err) => {
+                warn!("accepting a link failed: {err}");
+                // Out of file descriptors: without a pause this loop would use a whole core.
+                tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+                continue;
+            }
+        };
+        tokio::spawn(serve_link(stream, addr, identity.clone(), Arc::clone(&handler)));
+    }
+}
+
+async fn serve_link(
+    stream: TcpStream,
+    addr: SocketAddr,
+    identity: Identity,
+    handler: Arc<dyn PeerHandler>,
+) {
+    let Ok(mut link) = Link::accept(stream).await else { return };
+    let (peer, purpose) = match accept(&mut link, &identity).await {
+        Ok(accepted) => accepted,
+        Err(err) => {
+            warn!("link from {addr} refused: {err}");
+            return;
+        }
+    };
+    let err = match purpose {
+        Purpose::Control => serve_control(link, &peer, &*handler).await,
+        Purpose::Call => serve_calls(link, &peer, &*handler).await,
+    };
+    if let LinkError::Invalid(_) | LinkError::Unexpected = err {
+        warn!("link from {} closed: {err}", peer.node);
+    }
+}
+
+async fn serve_control(mut link: Link, peer: &PeerInfo, handler: &dyn PeerHandler) -> LinkError {
+    loop {
+        let reply = match link.recv().await {
+            Ok(frame) => handler.control(peer, frame),
+            Err(err) => return err,
+        };
+        if let Err(err) = link.send(&reply).await {
+            return err;
+        }
+    }
+}
+
+async fn serve_calls(mut link: Link, peer: &PeerInfo, handler: &dyn PeerHandler) -> LinkError {
+    loop {
+        let call = match link.recv().await {
+            Ok(Frame::Call(call)) => *call,
+            Ok(_) => return LinkError::Unexpected,
+            Err(err) => return err,
+        };
+        match serve_call(&mut link, peer, handler, call).await {
+            Ok(LinkState::Reusable) => {}
+            Ok(LinkState::Spent) => return LinkError::Closed,
+            Err(err) => return err,
+        }
+    }
+}
+
+/// Whether a link can carry another call.
+enum LinkState {
+    Reusable,
+    Spent,
+}
+
+async fn serve_call(
+    link: &mut Link,
+    peer: &PeerInfo,
+    handler: &dyn PeerHandler,
+    mut call: Call,
+) -> Result<LinkState, LinkError> {
+    let attempt = call.attempt;
+    let first: Bytes = std::mem::take(&mut call.body.bytes).into();
+    let mut body = RequestBody::Whole;
+    let payload = if call.body.last {
+        Payload::Full(first)
+    } else {
+        let (tx, rest) = Payload::channel();
+        body = RequestBody::Open(tx);
+        Payload::Chained(first, Box::new(rest))
+    };
+    let mut reply = handler.call(peer, call, payload);
+    let reply = loop {
+        tokio::select! {
+            reply = &mut reply => break reply,
+            // The body moves on while the upstream works; an error drops `reply`, which cancels
+            // the attempt.
+            step = body.step(link) => step?,
+        }
+    };
+    send_reply(link, attempt, reply, &mut body).await?;
+    Ok(match body {
+        RequestBody::Whole => LinkState::Reusable,
+        _ => LinkState::Spent,
+    })
+}
+
+/// The part of a request's body that is still to come.
+enum RequestBody {
+    /// More frames follow.
+    Open(PayloadSender),
+    /// A chunk waits for room.
+    Pending(PayloadSender, Chunk),
+    /// The upstream takes no more; the rest is read and dropped.
+    Unwanted,
+    /// Every frame was read.
+    Whole,
+}
+
+impl RequestBody {
+    /// Moves the body on by one step: a frame from the link or a chunk to the upstream. While the
+    /// body is whole it waits for the link, which must stay silent until the reply is sent.
+    /// Dropping the future loses nothing.
+    async fn step(&mut self, link: &mut Link) -> Result<(), LinkError> {
+        if let RequestBody::Pending(tx, _) = self {
+            let ready = tx.ready().await;
+            let RequestBody::Pending(tx, chunk) = std::mem::replace(self, RequestBody::Whole)
+            else {
+                unreachable!("the state was matched above");
+            };
+            // There is room and no other sender, so neither of the two sends below waits.
+            match (ready, chunk.last) {
+                (Ok(()), true) => tx.send_last(chunk.bytes.into()).await,
+                (Ok(()), false) => {
+                    let sent = tx.send(chunk.bytes.into()).await;
+                    *self = sent.map_or(RequestBody::Unwanted, |()| RequestBody::Open(tx));
+                }
+                (Err(_), true) => {}
+                (Err(_), false) => *self = RequestBody::Unwanted,
+            }
+            return Ok(());
+        }
+        let frame = link.recv().await?;
+        let (RequestBody::Open(_) | RequestBody::Unwanted, Frame::CallBody(chunk)) =
+            (&*self, frame)
+        else {
+            return Err(LinkError::Unexpected);
+        };
+        match std::mem::replace(self, RequestBody::Whole) {
+            RequestBody::Open(tx) => *self = RequestBody::Pending(tx, chunk),
+            _ if !chunk.last => *self = RequestBody::Unwanted,
+            _ => {}
+        }
+        Ok(())
+    }
+}
+
+async fn send_reply(
+    link: &mut Link,
+    attempt: AttemptId,
+    reply: CallReply,
+    request_body: &mut RequestBody,
+) -> Result<(), LinkError> {
+    let (status, headers, mut body, load) = match reply {
+        CallReply::Refused { code, load } => {
+            return link.send(&Frame::Refused { attempt, code, load }).await;
+        }
+        CallReply::Failed(code) => return link.send(&Frame::Failed { attempt, code }).await,
+        CallReply::Answer { status, headers, body, load } => (status, headers, body, load),
+    };
+    let first = match &mut body {
+        Payload::Full(bytes) if bytes.len() <= MAX_CHUNK_BYTES => {
+            Chunk { bytes: std::mem::take(bytes).to_vec(), last: true }
+        }
+        _ => Chunk { bytes: Vec::new(), last: false },
+    };
+    let last = first.last;
+    let head = AnswerHead { attempt, status, headers, body: first, load };
+    link.send(&Frame::Answer(Box::new(head))).await?;
+    if last {
+        return Ok(());
+    }
+    loop {
+        let next = tokio::select! {
+            next = body.next() => next,
+            step = request_body.step(link) => {
+                step?;
+                continue;
+            }
+        };
+        match next {
+            None => {
+                let chunk = Chunk { bytes: Vec::new(), last: true };
+                return link.send(&Frame::AnswerBody { attempt, chunk }).await;
+            }
+            Some(Ok(bytes)) => {
+                for part in bytes.chunks(MAX_CHUNK_BYTES) {
+                    let chunk = Chunk { bytes: part.to_vec(), last: false };
+                    link.send(&Frame::AnswerBody { attempt, chunk }).await?;
+                }
+            }
+            Some(Err(_)) => {
+                let code = ResultCode::UpstreamLost;
+                return link.send(&Frame::Failed { attempt, code }).await;
+            }
+        }
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,1 +1,24 @@
 //! Frames between nodes.
+//!
+//! [`Frame`] holds checked domain types. Its encoding is a private enum of tuple variants, which
+//! CBOR stores as short arrays; the conversion between the two checks every field, so that bytes
+//! from the network reach the rest of the program only as valid values.
+
+mod encoding;
+mod frame;
+
+pub use encoding::{DecodeError, decode, encode};
+pub use frame::{
+    AnswerHead, Call, Chunk, Digest, EndpointLoad, FenceStatus, Frame, Head, Header, Hello, Nonce,
+    Objects, Ping, Pong, Purpose, Table, Welcome,
+};
+
+/// Version of the protocol. A node refuses a link with another version.
+pub const PROTOCOL_VERSION: u16 = 1;
+
+/// Largest frame, in bytes.
+pub const MAX_FRAME_BYTES: usize = 64 * 1024;
+
+/// Largest part of a body in one frame, in bytes. Several calls share the processor, so a large
+/// body must not hold it for long.
+pub const MAX_CHUNK_BYTES: usize = 16 * 1024;
