--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,1 +1,3 @@
-//! Stand-ins of platform and upstream for tests and demo.
+//! Stand-ins of the platform and of upstreams, for tests and the demo.
+
+pub mod upstream;
