Add the object API client and the platform stand-in

The node and the operator commands need conditional writes, watches and a way to find out what became of a write whose answer was lost.

Ruled out: taking every failed write as refused, since a timeout or a 502/504 does not say whether the platform made the write; only a refused connection and answers below 500 and 503 count as "nothing written".

--- /dev/null
+++ b/crates/platform/src/store.rs
@@ -0,0 +1,111 @@
+//! The interface of the object store.
+
+use std::fmt;
+use std::time::Duration;
+
+use model::{Object, ObjectKey, ResultCode, Revision, StoredObject, WriteId};
+
+/// Blocking access to the objects that the platform holds.
+pub trait ObjectStore: Send + Sync {
+    /// Reads every live object, without tombstones.
+    fn list(&self) -> Result<Listing, StoreError>;
+
+    /// Waits up to `wait` for objects written after `since`, and returns their current content.
+    /// Deleted objects are returned as tombstones. Returns no objects when the wait ends first.
+    fn watch(&self, since: Revision, wait: Duration) -> Result<Changes, StoreError>;
+
+    /// Reads one object. Returns a tombstone for a deleted object as long as the platform keeps
+    /// it, and `None` if the platform knows nothing about the key.
+    fn read(&self, key: &ObjectKey) -> Result<Option<StoredObject>, StoreError>;
+
+    /// Writes one object, or deletes it if `object` is `None`, provided that the precondition
+    /// holds. Returns the revision of the write.
+    fn write(
+        &self,
+        key: &ObjectKey,
+        precondition: Precondition,
+        object: Option<&Object>,
+        write_id: &WriteId,
+    ) -> Result<Revision, StoreError>;
+}
+
+/// Every live object at one revision.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Listing {
+    /// Global revision at the time of the listing.
+    pub revision: Revision,
+    /// The objects, in no particular order.
+    pub objects: Vec<StoredObject>,
+}
+
+/// Objects written after the revision that a watch was given.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Changes {
+    /// Global revision up to which the changes are complete.
+    pub revision: Revision,
+    /// The objects, in the order of their revisions.
+    pub objects: Vec<StoredObject>,
+}
+
+/// State that an object must have for a write to take effect.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Precondition {
+    /// The object does not exist or is deleted.
+    Absent,
+    /// The last write of the object has this revision.
+    At(Revision),
+}
+
+/// A call to the platform failed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum StoreError {
+    /// The precondition does not hold; nothing was written.
+    Conflict {
+        /// Revision of the object's last write, or `None` if it does not exist.
+        current: Option<Revision>,
+    },
+    /// The platform refused the call because of its rate; nothing was written.
+    Throttled,
+    /// The platform can't be reached or refused the call; nothing was written.
+    Unavailable(Box<str>),
+    /// The answer of a write was lost; it may have taken effect.
+    OutcomeUnknown(Box<str>),
+    /// The request or the answer is not valid.
+    Invalid(Box<str>),
+    /// The platform no longer holds all changes since the given revision; a full list is needed.
+    ListNeeded,
+}
+
+impl StoreError {
+    /// The numbered result code, or `None` for an error that no operator sees.
+    pub fn code(&self) -> Option<ResultCode> {
+        match self {
+            StoreError::Conflict { .. } => Some(ResultCode::WriteConflict),
+            StoreError::Throttled => Some(ResultCode::PlatformThrottled),
+            StoreError::Unavailable(_) => Some(ResultCode::PlatformUnavailable),
+            StoreError::OutcomeUnknown(_) => Some(ResultCode::WriteOutcomeUnknown),
+            StoreError::Invalid(_) => Some(ResultCode::ObjectInvalid),
+            StoreError::ListNeeded => None,
+        }
+    }
+}
+
+impl fmt::Display for StoreError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            StoreError::Conflict { current: Some(revision) } => {
+                write!(f, "the object was changed at revision {revision}")
+            }
+            StoreError::Conflict { current: None } => f.write_str("the object does not exist"),
+            StoreError::Throttled => f.write_str("the platform refuses calls above its rate"),
+            StoreError::Unavailable(reason) => write!(f, "the platform is unavailable: {reason}"),
+            StoreError::OutcomeUnknown(reason) => {
+                write!(f, "the answer of the write was lost: {reason}")
+            }
+            StoreError::Invalid(reason) => write!(f, "invalid request or answer: {reason}"),
+            StoreError::ListNeeded => f.write_str("the revision is too old; list all objects"),
+        }
+    }
+}
+
+impl std::error::Error for StoreError {}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,1 +1,3 @@
 //! Stand-ins of platform and upstream for tests and demo.
+
+pub mod platform;
