--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,3 +1,4 @@
 //! Stand-ins of the platform and of upstreams, for tests and the demo.
 
+pub mod platform;
 pub mod upstream;
