Add the guard, the balancer, the retry policy and the guard clock

admission: one Guard for the endpoints of a node, with the attempt ledger, the slots, the fair queue and the graceful stop. The start-by, fence, drain and key checks and the marking as running are one step, which is made again when a queued attempt is started.

routing: choice by expected wait, retries on evidence, budget of retries, estimate of the guard's time.

Ruled out while writing: * A fence without the attempt's start-by: a fence that arrives after the ledger has dropped an attempt that ran would be answered "not run". fence() takes start_by and answers Unknown where the record may be gone. * Taking AttemptRepeated as evidence of "not run": the first copy may have run. refusal_evidence() excludes it, and the guard uses it for refusals that it can't record. * Judging each attempt of a call on its own: after an unknown outcome of an idempotent call, a refusal of its retry must not be reported as "not run". CallAttempts remembers the unknown outcome.

model gains LoadReport, which guards send and entries use.

--- /dev/null
+++ b/crates/admission/src/queue.rs
@@ -0,0 +1,211 @@
+//! Slots and fair queue of one endpoint.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use model::{AccountName, AttemptId, EndpointState, LoadReport, Slots, Time};
+
+use crate::guard::Attempt;
+
+/// Service time assumed before the first call has finished.
+const FIRST_MEAN_SERVICE: Duration = Duration::from_millis(50);
+
+/// Weight of the latest call in the moving average of service times, as a divisor.
+const MEAN_SHIFT: f64 = 16.0;
+
+/// Half-life of the service charged to an account, so that use from long ago doesn't count.
+const CHARGE_HALF_LIFE: Duration = Duration::from_secs(5);
+
+/// Calls of mean length by which an account that was idle may be ahead of the least-served one.
+const CREDIT_CALLS: f64 = 4.0;
+
+/// Charge in microseconds below which an account without calls is dropped.
+const NEGLIGIBLE_CHARGE: f64 = 1000.0;
+
+/// Time between two removals of accounts without calls.
+const PRUNE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// What happens to a call when no slot is free.
+#[derive(Debug)]
+pub(crate) enum Enqueued {
+    Queued,
+    /// The call is queued in the place of this one.
+    Displaced(Attempt),
+    Full,
+}
+
+#[derive(Debug, Default)]
+struct AccountShare {
+    /// Charged service in microseconds, as of `charged_at`.
+    charge: f64,
+    charged_at: Time,
+    running: Vec<(AttemptId, Time)>,
+    queue: VecDeque<Attempt>,
+}
+
+impl AccountShare {
+    fn charge_at(&self, now: Time) -> f64 {
+        let elapsed = now.since(self.charged_at).as_secs_f64();
+        self.charge * (-elapsed / CHARGE_HALF_LIFE.as_secs_f64()).exp2()
+    }
+
+    /// Charged service plus that of the running calls. A call that has just started counts with
+    /// the mean, so that one account doesn't take several slots that become free together.
+    fn service(&self, now: Time, mean: f64) -> f64 {
+        let run = |&(_, since): &(AttemptId, Time)| (now.since(since).as_micros() as f64).max(mean);
+        self.charge_at(now) + self.running.iter().map(run).sum::<f64>()
+    }
+
+    fn set_charge(&mut self, charge: f64, now: Time) {
+        self.charge = charge;
+        self.charged_at = now;
+    }
+
+    fn is_idle(&self) -> bool {
+        self.running.is_empty() && self.queue.is_empty()
+    }
+}
+
+/// Slots and queue of one endpoint. The queue serves the account with the least service so far.
+#[derive(Debug)]
+pub(crate) struct EndpointQueue {
+    pub(crate) slots: Slots,
+    /// `None` when the announcements have stopped.
+    pub(crate) state: Option<EndpointState>,
+    /// Ordered, so that ties don't depend on hashing.
+    accounts: BTreeMap<Option<AccountName>, AccountShare>,
+    running: u32,
+    queued: u32,
+    mean_service: f64,
+    prune_at: Time,
+}
+
+impl EndpointQueue {
+    pub(crate) fn new(slots: Slots, state: EndpointState) -> EndpointQueue {
+        EndpointQueue {
+            slots,
+            state: Some(state),
+            accounts: BTreeMap::new(),
+            running: 0,
+            queued: 0,
+            mean_service: FIRST_MEAN_SERVICE.as_micros() as f64,
+            prune_at: Time::ZERO,
+        }
+    }
+
+    pub(crate) fn has_free_slot(&self) -> bool {
+        self.running < self.slots.0
+    }
+
+    pub(crate) fn load(&self) -> LoadReport {
+        LoadReport {
+            slots: self.slots,
+            running: self.running,
+            queued: self.queued,
+            mean_service: Duration::from_micros(self.mean_service as u64),
+        }
+    }
+
+    pub(crate) fn start(&mut self, id: AttemptId, account: &Option<AccountName>, now: Time) {
+        self.activate(account, now).running.push((id, now));
+        self.running += 1;
+    }
+
+    /// Frees the slot of a call and charges its account.
+    pub(crate) fn finish(&mut self, id: AttemptId, account: &Option<AccountName>, now: Time) {
+        let Some(share) = self.accounts.get_mut(account) else { return };
+        let Some(at) = share.running.iter().position(|(running, _)| *running == id) else { return };
+        let (_, since) = share.running.swap_remove(at);
+        let service = now.since(since).as_micros() as f64;
+        share.set_charge(share.charge_at(now) + service, now);
+        self.running -= 1;
+        self.mean_service += (service - self.mean_service) / MEAN_SHIFT;
+    }
+
+    /// Queues a call. With a full queue, a call of an account with fewer queued calls takes the
+    /// place of the newest one of the account with the most, so that a backlog of one account
+    /// can't keep others out.
+    pub(crate) fn enqueue(&mut self, attempt: Attempt, capacity: u32, now: Time) -> Enqueued {
+        if self.queued < capacity {
+            self.activate(&attempt.account.clone(), now).queue.push_back(attempt);
+            self.queued += 1;
+            return Enqueued::Queued;
+        }
+        let own = self.accounts.get(&attempt.account).map_or(0, |share| share.queue.len());
+        let most = self.accounts.values_mut().max_by_key(|share| share.queue.len());
+        let Some(most) = most.filter(|share| share.queue.len() > own + 1) else {
+            return Enqueued::Full;
+        };
+        let Some(displaced) = most.queue.pop_back() else { return Enqueued::Full };
+        self.activate(&attempt.account.clone(), now).queue.push_back(attempt);
+        Enqueued::Displaced(displaced)
+    }
+
+    /// Takes the oldest queued call of the account with the least service so far.
+    pub(crate) fn take_next(&mut self, now: Time) -> Option<Attempt> {
+        let mean = self.mean_service;
+        let waiting = self.accounts.values_mut().filter(|share| !share.queue.is_empty());
+        let least = waiting.min_by(|a, b| {
+            let by_service = a.service(now, mean).total_cmp(&b.service(now, mean));
+            // Ties follow the order of attempts, so that the choice doesn't depend on hashing.
+            by_service.then_with(|| a.queue[0].id.cmp(&b.queue[0].id))
+        })?;
+        self.queued -= 1;
+        least.queue.pop_front()
+    }
+
+    pub(crate) fn remove_queued(
+        &mut self,
+        id: AttemptId,
+        account: &Option<AccountName>,
+    ) -> Option<Attempt> {
+        let share = self.accounts.get_mut(account)?;
+        let at = share.queue.iter().position(|attempt| attempt.id == id)?;
+        self.queued -= 1;
+        share.queue.remove(at)
+    }
+
+    /// Removes the queued calls that match.
+    pub(crate) fn drain_queued(&mut self, matches: impl Fn(&Attempt) -> bool) -> Vec<Attempt> {
+        let mut drained = Vec::new();
+        for share in self.accounts.values_mut() {
+            let (out, kept) = share.queue.drain(..).partition(|attempt| matches(attempt));
+            share.queue = kept;
+            let out: VecDeque<Attempt> = out;
+            drained.extend(out);
+        }
+        self.queued -= drained.len() as u32;
+        drained.sort_by_key(|attempt| attempt.id);
+        drained
+    }
+
+    pub(crate) fn earliest_start_by(&self) -> Option<Time> {
+        let queued = self.accounts.values().flat_map(|share| &share.queue);
+        queued.map(|attempt| attempt.start_by).min()
+    }
+
+    /// Drops accounts without calls whose charge has decayed.
+    pub(crate) fn prune(&mut self, now: Time) {
+        if now < self.prune_at {
+            return;
+        }
+        self.prune_at = now + PRUNE_INTERVAL;
+        self.accounts
+            .retain(|_, share| !share.is_idle() || share.charge_at(now) > NEGLIGIBLE_CHARGE);
+    }
+
+    /// The share of an account that is about to have a call. If it had none, its lead over the
+    /// least-served account with calls is cut to a small credit.
+    fn activate(&mut self, account: &Option<AccountName>, now: Time) -> &mut AccountShare {
+        let is_idle = self.accounts.get(account).is_none_or(AccountShare::is_idle);
+        if is_idle {
+            let mean = self.mean_service;
+            let active = self.accounts.values().filter(|share| !share.is_idle());
+            let least = active.map(|share| share.service(now, mean)).min_by(f64::total_cmp);
+            let share = self.accounts.entry(account.clone()).or_default();
+            let floor = least.map_or(0.0, |least| least - CREDIT_CALLS * mean);
+            share.set_charge(share.charge_at(now).max(floor), now);
+        }
+        self.accounts.entry(account.clone()).or_default()
+    }
+}
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -8,6 +8,7 @@
 mod ids;
 mod key;
 mod labels;
+mod load;
 mod object;
 mod result_code;
 mod time;
@@ -20,6 +21,7 @@
 };
 pub use key::{CallerKey, KeyDigest, KeyError};
 pub use labels::{Labels, Selector, SelectorError};
+pub use load::LoadReport;
 pub use object::{
     Access, Account, DocumentError, Endpoint, EndpointMark, EndpointState, Key, Kind, NodeRecord,
     Object, ObjectKey, PartitionRecord, Route, StoredObject,
--- /dev/null
+++ b/crates/routing/src/balancer.rs
@@ -0,0 +1,276 @@
+//! Choice of an endpoint.
+
+use std::time::Duration;
+
+use model::{EndpointName, FailureDomain, LoadReport, NodeName, Slots};
+
+use crate::random::RandomSource;
+use crate::retry::Idempotence;
+
+/// Service time assumed for an endpoint that has not reported any.
+const UNKNOWN_SERVICE: Duration = Duration::from_millis(50);
+
+/// Stage of an endpoint in its return from ejection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Stage {
+    /// Takes every call.
+    Regular,
+    /// Takes a trickle of idempotent calls.
+    Probation,
+}
+
+/// The last known load of an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct KnownLoad {
+    /// What its guard reported.
+    pub report: LoadReport,
+    /// Time since the report arrived.
+    pub age: Duration,
+    /// Calls of this entry that were sent since the report and have not ended.
+    pub sent_since: u32,
+}
+
+/// An endpoint that a call may go to.
+#[derive(Debug, Clone, Copy)]
+pub struct Candidate<'a> {
+    /// The endpoint.
+    pub endpoint: &'a EndpointName,
+    /// The node before it.
+    pub node: &'a NodeName,
+    /// The failure domain of the node.
+    pub domain: &'a FailureDomain,
+    /// Slots that it announced.
+    pub slots: Slots,
+    /// Share of the usual traffic that it may take, from 0 to 100.
+    pub weight: u8,
+    /// Stage in the return from ejection.
+    pub stage: Stage,
+    /// Added cost for recent failures of the path to it.
+    pub path_penalty: Duration,
+    /// Its load, if the guard has reported any.
+    pub load: Option<KnownLoad>,
+}
+
+/// The endpoints that a call may go to. Candidates are made on request, so that a choice among
+/// thousands looks at few.
+pub trait Candidates {
+    /// Number of candidates.
+    fn count(&self) -> usize;
+
+    /// The candidate at an index below [`Candidates::count`].
+    fn candidate(&self, index: usize) -> Candidate<'_>;
+}
+
+impl Candidates for [Candidate<'_>] {
+    fn count(&self) -> usize {
+        self.len()
+    }
+
+    fn candidate(&self, index: usize) -> Candidate<'_> {
+        self[index]
+    }
+}
+
+impl Candidates for Vec<Candidate<'_>> {
+    fn count(&self) -> usize {
+        self.len()
+    }
+
+    fn candidate(&self, index: usize) -> Candidate<'_> {
+        self[index]
+    }
+}
+
+/// Why an endpoint was chosen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Reason {
+    /// It has the least cost.
+    LeastCost,
+    /// It was drawn from several with the least cost.
+    TieBroken,
+    /// No other endpoint was eligible.
+    OnlyCandidate,
+    /// Every considered endpoint has a reduced weight, and the share of each was used up.
+    ReducedWeight,
+}
+
+/// A chosen endpoint, with what the decision log needs.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Choice {
+    /// Index of the candidate.
+    pub index: usize,
+    /// The endpoint.
+    pub endpoint: EndpointName,
+    /// Why it was chosen.
+    pub reason: Reason,
+    /// Its expected wait plus penalties.
+    pub cost: Duration,
+    /// Number of eligible candidates that were compared.
+    pub considered: usize,
+}
+
+/// Parameters of a [`Balancer`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BalancerParams {
+    /// Added cost of an endpoint in another failure domain.
+    pub domain_penalty: Duration,
+    /// Most candidates that are compared for one choice.
+    pub sample: usize,
+}
+
+impl Default for BalancerParams {
+    fn default() -> BalancerParams {
+        BalancerParams { domain_penalty: Duration::from_millis(3), sample: 24 }
+    }
+}
+
+/// Chooses the endpoint with the least expected wait plus penalties.
+///
+/// ```
+/// use model::{LoadReport, Slots};
+/// use routing::{Balancer, BalancerParams, Candidate, Idempotence, SplitMix64, Stage};
+/// use std::time::Duration;
+///
+/// let (near, far) = ("mid-a".parse().unwrap(), "mid-b".parse().unwrap());
+/// let names = ["orders-1".parse().unwrap(), "orders-2".parse().unwrap()];
+/// let node = "node-1".parse().unwrap();
+/// let candidate = |endpoint, domain| Candidate {
+///     endpoint,
+///     node: &node,
+///     domain,
+///     slots: Slots(3),
+///     weight: 100,
+///     stage: Stage::Regular,
+///     path_penalty: Duration::ZERO,
+///     load: None,
+/// };
+/// let candidates = vec![candidate(&names[0], &far), candidate(&names[1], &near)];
+/// let balancer = Balancer::new(near.clone(), BalancerParams::default());
+/// let mut random = SplitMix64::new(1);
+/// let method = Idempotence::Idempotent;
+/// let choice = balancer.choose(&candidates, &[], method, &mut random).unwrap();
+/// assert_eq!(choice.endpoint, names[1]);
+/// ```
+#[derive(Debug, Clone)]
+pub struct Balancer {
+    domain: FailureDomain,
+    params: BalancerParams,
+}
+
+impl Balancer {
+    /// Makes a balancer for an entry in `domain`.
+    pub fn new(domain: FailureDomain, params: BalancerParams) -> Balancer {
+        Balancer { domain, params }
+    }
+
+    /// Chooses among the candidates that were not tried yet, or returns `None` if none of them is
+    /// eligible.
+    pub fn choose(
+        &self,
+        candidates: &dyn Candidates,
+        tried: &[EndpointName],
+        idempotence: Idempotence,
+        random: &mut dyn RandomSource,
+    ) -> Option<Choice> {
+        let is_eligible = |candidate: &Candidate<'_>| {
+            candidate.weight > 0
+                && candidate.slots.0 > 0
+                && (candidate.stage == Stage::Regular || idempotence == Idempotence::Idempotent)
+                && !tried.contains(candidate.endpoint)
+        };
+        let indexes = self.sample(candidates, &is_eligible, random);
+        let mut best = Best::default();
+        let mut reduced = Best::default();
+        for &index in &indexes {
+            let candidate = candidates.candidate(index);
+            let cost = self.cost(&candidate);
+            if candidate.weight >= 100 || random.below(100) < usize::from(candidate.weight) {
+                best.offer(index, cost, random);
+            } else {
+                // The highest weight comes first, then the least cost.
+                let rank = Duration::from_secs(u64::from(100 - candidate.weight)) + cost;
+                reduced.offer(index, rank, random);
+            }
+        }
+        let (winner, reason) = match (best.index, reduced.index) {
+            (Some(index), _) if indexes.len() == 1 => (index, Reason::OnlyCandidate),
+            (Some(index), _) if best.ties > 1 => (index, Reason::TieBroken),
+            (Some(index), _) => (index, Reason::LeastCost),
+            (None, Some(index)) => (index, Reason::ReducedWeight),
+            (None, None) => return None,
+        };
+        let candidate = candidates.candidate(winner);
+        Some(Choice {
+            index: winner,
+            endpoint: candidate.endpoint.clone(),
+            reason,
+            cost: self.cost(&candidate),
+            considered: indexes.len(),
+        })
+    }
+
+    /// Indexes of eligible candidates: all if there are few, else a random sample. Only where the
+    /// sample holds no eligible one are the others looked at in turn.
+    fn sample(
+        &self,
+        candidates: &dyn Candidates,
+        is_eligible: &dyn Fn(&Candidate<'_>) -> bool,
+        random: &mut dyn RandomSource,
+    ) -> Vec<usize> {
+        let count = candidates.count();
+        let eligible = |index: &usize| is_eligible(&candidates.candidate(*index));
+        if count <= self.params.sample {
+            return (0..count).filter(eligible).collect();
+        }
+        let mut drawn: Vec<usize> = (0..self.params.sample).map(|_| random.below(count)).collect();
+        drawn.sort_unstable();
+        drawn.dedup();
+        drawn.retain(eligible);
+        if drawn.is_empty() {
+            let first = random.below(count);
+            drawn.extend((0..count).map(|step| (first + step) % count).find(eligible));
+        }
+        drawn
+    }
+
+    fn cost(&self, candidate: &Candidate<'_>) -> Duration {
+        let domain_penalty = match *candidate.domain == self.domain {
+            true => Duration::ZERO,
+            false => self.params.domain_penalty,
+        };
+        expected_wait(candidate) + domain_penalty + candidate.path_penalty
+    }
+}
+
+/// Time that a call would wait for a slot, from the last report and the calls sent since.
+fn expected_wait(candidate: &Candidate<'_>) -> Duration {
+    let slots = f64::from(candidate.slots.0);
+    let (busy, service) = match candidate.load {
+        None => (0.0, UNKNOWN_SERVICE),
+        Some(KnownLoad { report, sent_since, .. }) => {
+            (f64::from(report.running + report.queued + sent_since), report.mean_service)
+        }
+    };
+    service.mul_f64((busy + 1.0 - slots).max(0.0) / slots)
+}
+
+/// The least cost so far; each of several equal ones is equally likely to be kept.
+#[derive(Debug, Default)]
+struct Best {
+    index: Option<usize>,
+    cost: Duration,
+    ties: usize,
+}
+
+impl Best {
+    fn offer(&mut self, index: usize, cost: Duration, random: &mut dyn RandomSource) {
+        if self.index.is_none() || cost < self.cost {
+            *self = Best { index: Some(index), cost, ties: 1 };
+        } else if cost == self.cost {
+            self.ties += 1;
+            if random.below(self.ties) == 0 {
+                self.index = Some(index);
+            }
+        }
+    }
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -1,1 +1,22 @@
 //! Endpoint choice and retries.
+//!
+//! * [`Balancer`] chooses the endpoint with the least expected wait.
+//! * [`CallAttempts`] decides what follows when an attempt has ended, within a [`RetryBudget`].
+//! * [`GuardClock`] estimates the time of a guard for start-by deadlines.
+
+mod balancer;
+mod budget;
+mod clock;
+mod random;
+mod retry;
+
+pub use balancer::{
+    Balancer, BalancerParams, Candidate, Candidates, Choice, KnownLoad, Reason, Stage,
+};
+pub use budget::{Grant, RetryBudget};
+pub use clock::{GuardClock, StartBy};
+pub use random::{RandomSource, SplitMix64};
+pub use retry::{
+    AttemptEnd, Body, CallAttempts, CallKind, Evidence, FenceResult, Idempotence, Next,
+    refusal_evidence,
+};
--- /dev/null
+++ b/crates/routing/src/retry.rs
@@ -0,0 +1,262 @@
+//! What follows when an attempt has ended.
+
+use model::{Incarnation, ResultCode, Time};
+
+use crate::budget::{Grant, RetryBudget};
+
+/// Most attempts of one call: the first and two further ones.
+const MAX_ATTEMPTS: u32 = 3;
+
+/// Whether a request may run more than once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Idempotence {
+    /// Running it again does no harm.
+    Idempotent,
+    /// It must run at most once.
+    NonIdempotent,
+}
+
+/// Whether the body of a request can be sent again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Body {
+    /// The body is empty or kept in memory.
+    Replayable,
+    /// A part of the body has been sent and is not kept.
+    Consumed,
+}
+
+/// Whether a refusal proves that the attempt did not run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Evidence {
+    /// The attempt did not run and never will.
+    NotRun,
+    /// The attempt may have run.
+    Missing,
+}
+
+/// Answer to a fence.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum FenceResult {
+    /// The process to which the attempt was handed says that it did not run and never will.
+    NotRun,
+    /// It runs or has run, or its record is gone.
+    MayHaveRun,
+    /// No answer in time, or the answer of another process.
+    NoAnswer,
+}
+
+/// How an attempt ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum AttemptEnd {
+    /// The complete answer has arrived, or is being streamed to the caller.
+    AnsweredWhole,
+    /// The attempt was refused by the guard, by the upstream or before it was handed on.
+    Refused {
+        /// The reason.
+        code: ResultCode,
+        /// Whether the refusal proves that the attempt did not run.
+        evidence: Evidence,
+    },
+    /// The outcome is unknown, and no byte of an answer has gone to the caller.
+    Unknown {
+        /// What happened, from the 2xxx group.
+        code: ResultCode,
+    },
+    /// The answer to the fence that followed an unknown outcome.
+    Fenced {
+        /// The answer.
+        result: FenceResult,
+    },
+    /// The answer broke off after a part of it had gone to the caller.
+    AnswerCut {
+        /// What happened, from the 2xxx group.
+        code: ResultCode,
+    },
+}
+
+/// What the entry does next.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Next {
+    /// Answer the caller.
+    Answer,
+    /// Choose another endpoint and make a new attempt with a new attempt id.
+    RetryElsewhere,
+    /// Fence the attempt on another link and report [`AttemptEnd::Fenced`].
+    FenceThenDecide,
+    /// Tell the caller that the request was refused and did not run.
+    RefuseToCaller(ResultCode),
+    /// Tell the caller that the outcome is unknown.
+    UnknownToCaller(ResultCode),
+}
+
+/// What the retry policy needs to know of a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CallKind {
+    /// Whether the request may run more than once.
+    pub idempotence: Idempotence,
+    /// Deadline of the call in the own time.
+    pub deadline: Time,
+}
+
+/// The attempts of one call. To be told of the end of each attempt, in order.
+///
+/// ```
+/// use model::{Percent, ResultCode, Time};
+/// use routing::{
+///     AttemptEnd, Body, CallAttempts, CallKind, Evidence, Idempotence, Next, RetryBudget,
+/// };
+///
+/// let deadline = Time::from_micros(1_000_000);
+/// let kind = CallKind { idempotence: Idempotence::NonIdempotent, deadline };
+/// let mut attempts = CallAttempts::new(kind);
+/// let mut budget = RetryBudget::new(Percent::new(20).unwrap());
+/// let refused = AttemptEnd::Refused { code: ResultCode::QueueFull, evidence: Evidence::NotRun };
+/// let next = attempts.next(refused, Body::Replayable, &mut budget, Time::ZERO);
+/// assert_eq!(next, Next::RetryElsewhere);
+/// ```
+#[derive(Debug, Clone)]
+pub struct CallAttempts {
+    kind: CallKind,
+    ended: u32,
+    /// Code of the first attempt that may have run. While there is one, no refusal of a later
+    /// attempt makes the whole call "not run".
+    may_have_run: Option<ResultCode>,
+    /// Code of the attempt that is being fenced.
+    fencing: Option<ResultCode>,
+}
+
+impl CallAttempts {
+    /// Starts with the first attempt.
+    pub fn new(kind: CallKind) -> CallAttempts {
+        CallAttempts { kind, ended: 0, may_have_run: None, fencing: None }
+    }
+
+    /// Number of attempts that have ended.
+    pub fn ended(&self) -> u32 {
+        self.ended
+    }
+
+    /// Decides what follows the end of an attempt.
+    pub fn next(
+        &mut self,
+        end: AttemptEnd,
+        body: Body,
+        budget: &mut RetryBudget,
+        now: Time,
+    ) -> Next {
+        match end {
+            AttemptEnd::AnsweredWhole => Next::Answer,
+            AttemptEnd::AnswerCut { code } => Next::UnknownToCaller(code),
+            AttemptEnd::Refused { code, evidence: Evidence::NotRun } => {
+                self.ended += 1;
+                self.after_not_run(code, body, budget, now)
+            }
+            AttemptEnd::Refused { evidence: Evidence::Missing, .. } => {
+                self.after_unknown(ResultCode::LinkLost, body, budget, now)
+            }
+            AttemptEnd::Unknown { code } => self.after_unknown(code, body, budget, now),
+            AttemptEnd::Fenced { result: FenceResult::NotRun } => {
+                self.fencing = None;
+                self.ended += 1;
+                self.after_not_run(ResultCode::AttemptFenced, body, budget, now)
+            }
+            AttemptEnd::Fenced { .. } => {
+                let code = self.fencing.take().unwrap_or(ResultCode::LinkLost);
+                self.ended += 1;
+                self.may_have_run.get_or_insert(code);
+                self.settle(code)
+            }
+        }
+    }
+
+    /// No endpoint is left for a further attempt: says how the call ends.
+    pub fn give_up(&self, code: ResultCode) -> Next {
+        self.settle(code)
+    }
+
+    fn after_not_run(
+        &mut self,
+        code: ResultCode,
+        body: Body,
+        budget: &mut RetryBudget,
+        now: Time,
+    ) -> Next {
+        if is_worth_retrying(code) && self.may_retry(body, budget, now) {
+            return Next::RetryElsewhere;
+        }
+        self.settle(code)
+    }
+
+    fn after_unknown(
+        &mut self,
+        code: ResultCode,
+        body: Body,
+        budget: &mut RetryBudget,
+        now: Time,
+    ) -> Next {
+        if self.kind.idempotence == Idempotence::NonIdempotent {
+            // Past the deadline nobody waits for what a fence would tell.
+            if now < self.kind.deadline {
+                self.fencing = Some(code);
+                return Next::FenceThenDecide;
+            }
+            self.ended += 1;
+            return Next::UnknownToCaller(code);
+        }
+        self.ended += 1;
+        self.may_have_run.get_or_insert(code);
+        if self.may_retry(body, budget, now) {
+            return Next::RetryElsewhere;
+        }
+        self.settle(code)
+    }
+
+    /// The budget is asked last, so that only retries that are made are charged.
+    fn may_retry(&self, body: Body, budget: &mut RetryBudget, now: Time) -> bool {
+        self.ended < MAX_ATTEMPTS
+            && now < self.kind.deadline
+            && body == Body::Replayable
+            && budget.request_retry(now) == Grant::Granted
+    }
+
+    fn settle(&self, code: ResultCode) -> Next {
+        match self.may_have_run {
+            Some(unknown) => Next::UnknownToCaller(unknown),
+            None => Next::RefuseToCaller(code),
+        }
+    }
+}
+
+/// Tells whether a refusal proves that an attempt did not run. A refusal by another process than
+/// the one to which the attempt was handed proves nothing, since the first one may be paused.
+/// [`ResultCode::AttemptRepeated`] proves nothing, since another copy may have run.
+pub fn refusal_evidence(
+    code: ResultCode,
+    handed_to: Incarnation,
+    refused_by: Incarnation,
+) -> Evidence {
+    let is_not_run = code.outcome() == model::Outcome::NotRun;
+    match is_not_run && code != ResultCode::AttemptRepeated && handed_to == refused_by {
+        true => Evidence::NotRun,
+        false => Evidence::Missing,
+    }
+}
+
+/// Tells whether another endpoint might accept what this one refused.
+fn is_worth_retrying(code: ResultCode) -> bool {
+    matches!(
+        code,
+        ResultCode::QueueFull
+            | ResultCode::DeadlineBeforeStart
+            | ResultCode::NoQuorum
+            | ResultCode::NotSynced
+            | ResultCode::Stopping
+            | ResultCode::ConnectFailed
+            | ResultCode::EndpointLeaving
+            | ResultCode::EndpointUnknown
+            | ResultCode::UpstreamShed
+            | ResultCode::TooManyConnections
+            | ResultCode::AttemptFenced
+            | ResultCode::LinkUnavailable
+    )
+}
