--- /dev/null
+++ b/crates/node/src/announce.rs
@@ -0,0 +1,59 @@
+//! Announcements of the upstreams of this instance.
+
+use std::sync::Arc;
+
+use log::{info, warn};
+use membership::Announced;
+use model::Endpoint;
+use upstream::AnnounceHandler;
+
+use crate::peers::push_table;
+use crate::shared::{Node, Phase, lock, write};
+
+/// Takes in announcements.
+pub(crate) struct Announcer {
+    pub(crate) node: Arc<Node>,
+}
+
+impl AnnounceHandler for Announcer {
+    fn announced(&self, endpoint: Endpoint) -> Result<(), Box<str>> {
+        let node = &self.node;
+        if node.phase() != Phase::Serving {
+            return Err("the node is stopping".into());
+        }
+        if endpoint.slots.0 == 0 {
+            return Err("an endpoint needs at least one slot".into());
+        }
+        let announced = lock(&node.announcements).announce(endpoint.clone(), node.now());
+        if announced == Announced::Changed {
+            info!("endpoint {} is {:?} at {}", endpoint.name, endpoint.state, endpoint.addr);
+            node.guard.announce(node, &endpoint);
+            publish(node);
+        }
+        Ok(())
+    }
+}
+
+/// Drops endpoints whose announcements have stopped.
+pub(crate) fn expire(node: &Arc<Node>) {
+    let gone = lock(&node.announcements).expire(node.now());
+    if gone.is_empty() {
+        return;
+    }
+    for endpoint in &gone {
+        warn!("endpoint {endpoint} is gone: its announcements have stopped");
+        node.guard.gone(node, endpoint);
+    }
+    publish(node);
+}
+
+/// Brings the own table into the own directory and to the peers.
+pub(crate) fn publish(node: &Arc<Node>) {
+    let announcements = lock(&node.announcements);
+    let (version, table) = (announcements.version(), announcements.table());
+    drop(announcements);
+    let info = node.info();
+    write(&node.directory).apply_table(&info.node, info.incarnation, version, table);
+    let node = Arc::clone(node);
+    tokio::spawn(async move { push_table(&node).await });
+}
--- /dev/null
+++ b/crates/node/src/health.rs
@@ -0,0 +1,315 @@
+//! Health: reports of the guard, ejections held by the entry, and the arbiter of owned services.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use health::{
+    Action, Arbiter, Availability, CallResult, Decision, Ejections, EjectionList, HeldEjection,
+    ProbeResult, QuorumLease, Recorder, RouteEndpoint, RouteView, Weight,
+};
+use hyper::http::Request;
+use limits::PARTITIONS;
+use log::info;
+use model::{
+    EndpointName, Epoch, Incarnation, PartitionId, RouteName, ServiceName, Time, stable_hash,
+};
+use payload::Payload;
+use tokio::time::{sleep, timeout};
+use wire::{Frame, HealthReply, HealthUpdate, Probe, ProbeReport};
+
+use crate::shared::{Map, Node, lock, read};
+
+/// Interval at which a node and the arbiters exchange reports and ejections.
+const EXCHANGE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Interval at which an arbiter decides.
+const DECIDE_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Time allowed for a probe; one takes about 25 ms.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Path that a probe asks for.
+const PROBE_PATH: &str = "/health";
+
+/// Health state of one node.
+pub(crate) struct Health {
+    incarnation: Incarnation,
+    start: Time,
+    recorders: Map<ServiceName, Recorder>,
+    ejections: Map<ServiceName, Ejections>,
+    probed: Map<ServiceName, Vec<ProbeReport>>,
+    arbiters: Mutex<Arbiters>,
+}
+
+#[derive(Default)]
+struct Arbiters {
+    /// Partitions that this node owns, and since when.
+    held: HashMap<PartitionId, (Epoch, Time)>,
+    services: HashMap<ServiceName, Arbiter>,
+    /// Probes that guards have not yet been told of.
+    probes: HashMap<EndpointName, Vec<Probe>>,
+}
+
+impl Health {
+    pub(crate) fn new(incarnation: Incarnation, start: Time) -> Health {
+        Health {
+            incarnation,
+            start,
+            recorders: Map::default(),
+            ejections: Map::default(),
+            probed: Map::default(),
+            arbiters: Mutex::default(),
+        }
+    }
+
+    /// Records a finished call at the guard.
+    pub(crate) fn record(
+        &self,
+        node: &Node,
+        route: &RouteName,
+        endpoint: &EndpointName,
+        result: CallResult,
+        latency: Duration,
+    ) {
+        let Some(service) = service_of(node, route) else { return };
+        let mut recorders = lock(&self.recorders);
+        let recorder =
+            recorders.entry(service).or_insert_with(|| Recorder::new(self.incarnation, self.start));
+        recorder.record(route, endpoint, result, latency);
+    }
+
+    /// Weights of several endpoints on a route, at the entry.
+    pub(crate) fn weights<'a>(
+        &self,
+        service: &ServiceName,
+        route: &RouteName,
+        endpoints: impl Iterator<Item = &'a EndpointName>,
+        now: Time,
+    ) -> Vec<Weight> {
+        let ejections = lock(&self.ejections);
+        let held = ejections.get(service);
+        endpoints
+            .map(|endpoint| held.map_or(Weight::FULL, |held| held.weight(route, endpoint, now)))
+            .collect()
+    }
+
+    /// The own node has become the owner of a partition.
+    pub(crate) fn gain(&self, id: PartitionId, epoch: Epoch) {
+        // The time is set at the next look, so that the wait of the arbiter is never too short.
+        lock(&self.arbiters).held.insert(id, (epoch, Time::NEVER));
+    }
+
+    /// The own node is no longer the owner of a partition.
+    pub(crate) fn lose(&self, id: PartitionId) {
+        let mut arbiters = lock(&self.arbiters);
+        arbiters.held.remove(&id);
+        arbiters.services.retain(|service, _| partition_of(service) != id);
+    }
+
+    /// Replies to a frame about health, or returns `None` for another one.
+    pub(crate) fn control(&self, node: &Node, frame: Frame) -> Option<Frame> {
+        let Frame::HealthUpdate(update) = frame else { return None };
+        Some(Frame::HealthReply(Box::new(self.take_update(node, *update))))
+    }
+
+    fn take_update(&self, node: &Node, update: HealthUpdate) -> HealthReply {
+        let now = node.now();
+        let mut arbiters = lock(&self.arbiters);
+        let Arbiters { services, probes, .. } = &mut *arbiters;
+        let Some(arbiter) = services.get_mut(&update.service) else {
+            return HealthReply { list: None, probes: Vec::new() };
+        };
+        if let Some(report) = &update.report {
+            arbiter.report(report, now);
+        }
+        for held in &update.held {
+            arbiter.adopt(held, now);
+        }
+        for ProbeReport { probe, result } in update.probed {
+            if let Some(decision) =
+                arbiter.probe_result(&probe.route, &probe.endpoint, result, now)
+            {
+                log_decision(&decision);
+            }
+        }
+        let reported = update.report.iter().flat_map(|report| &report.entries);
+        let mut due = Vec::new();
+        for endpoint in reported.map(|entry| &entry.endpoint).chain(&update.endpoints) {
+            due.extend(probes.remove(endpoint).unwrap_or_default());
+        }
+        HealthReply { list: Some(arbiter.list(now)), probes: due }
+    }
+}
+
+/// The partition whose owner arbitrates a service.
+fn partition_of(service: &ServiceName) -> PartitionId {
+    let hash = stable_hash(&[b"health", service.as_str().as_bytes()]);
+    PartitionId((hash % u64::from(PARTITIONS)) as u16)
+}
+
+fn service_of(node: &Node, route: &RouteName) -> Option<ServiceName> {
+    let config = read(&node.config);
+    config.route_named(route.as_str()).map(|route| route.policy().service.clone())
+}
+
+/// Exchanges reports and ejections with the arbiters of all services.
+pub(crate) async fn exchange(node: Arc<Node>) {
+    loop {
+        sleep(EXCHANGE_INTERVAL).await;
+        let services: std::collections::BTreeSet<ServiceName> = {
+            let config = read(&node.config);
+            config.routes().map(|route| route.policy().service.clone()).collect()
+        };
+        for service in services {
+            tokio::spawn(exchange_service(Arc::clone(&node), service));
+        }
+        node.loads.sweep(node.now());
+    }
+}
+
+async fn exchange_service(node: Arc<Node>, service: ServiceName) {
+    let owner = lock(&node.ownership).owner(partition_of(&service)).cloned();
+    let Some(owner) = owner else { return };
+    let update = make_update(&node, &service);
+    let sent = node.now();
+    let reply = if owner == node.info().node {
+        node.health.take_update(&node, update)
+    } else {
+        let Some(peer) = node.peers.find(owner.as_str()) else { return };
+        match peer.client.request(Frame::HealthUpdate(Box::new(update))).await {
+            Ok(Frame::HealthReply(reply)) => *reply,
+            _ => return,
+        }
+    };
+    if let Some(list) = &reply.list {
+        apply_list(&node, &service, list, sent);
+    }
+    for probe in reply.probes {
+        tokio::spawn(run_probe(Arc::clone(&node), service.clone(), probe));
+    }
+}
+
+fn make_update(node: &Node, service: &ServiceName) -> HealthUpdate {
+    let now = node.now();
+    let report = lock(&node.health.recorders).get_mut(service).and_then(|r| r.report(now));
+    let held: Vec<HeldEjection> =
+        lock(&node.health.ejections).get(service).map(|e| e.held(now)).unwrap_or_default();
+    let probed = lock(&node.health.probed).remove(service).unwrap_or_default();
+    let own = lock(&node.announcements).table();
+    let endpoints = own.into_iter().filter(|endpoint| endpoint.service == *service);
+    let endpoints = endpoints.map(|endpoint| endpoint.name).collect();
+    HealthUpdate { service: service.clone(), report, held, probed, endpoints }
+}
+
+fn apply_list(node: &Node, service: &ServiceName, list: &EjectionList, sent: Time) {
+    let now = node.now();
+    let views = route_views(node, service, now);
+    let mut ejections = lock(&node.health.ejections);
+    let held = ejections.entry(service.clone()).or_default();
+    held.apply(list, Some(sent), now);
+    for view in &views {
+        held.review(view, now);
+    }
+}
+
+/// The routes of a service with all endpoints that their selectors pick.
+fn route_views(node: &Node, service: &ServiceName, now: Time) -> Vec<RouteView> {
+    let config = read(&node.config);
+    let directory = read(&node.directory);
+    let routes = config.routes().filter(|route| route.policy().service == *service);
+    let view = |route: &Arc<config::RouteEntry>| {
+        let policy = route.policy();
+        let picked =
+            directory.all(service).iter().filter(|entry| policy.selector.matches(&entry.labels));
+        let endpoints = picked.map(|entry| RouteEndpoint {
+            name: entry.name.clone(),
+            slots: entry.slots,
+            availability: match entry.state.into() {
+                _ if !directory.is_reachable(entry, now) => Availability::Unreachable,
+                Availability::Available if entry.drained => Availability::Drained,
+                availability => availability,
+            },
+        });
+        let name = route.name().parse().ok()?;
+        Some(RouteView { route: name, floor: policy.floor, endpoints: endpoints.collect() })
+    };
+    routes.filter_map(view).collect()
+}
+
+/// Probes an endpoint of this instance, which takes one of its slots.
+async fn run_probe(node: Arc<Node>, service: ServiceName, probe: Probe) {
+    let addr = lock(&node.announcements).endpoint(&probe.endpoint).map(|endpoint| endpoint.addr);
+    let Some(addr) = addr else { return };
+    let req = Request::get(PROBE_PATH).header("host", addr.to_string()).body(Payload::empty());
+    let Ok(req) = req else { return };
+    let answer = timeout(PROBE_TIMEOUT, node.upstreams.send(addr, req)).await;
+    let is_good = matches!(&answer, Ok(Ok(answer)) if answer.status < 500);
+    let result = if is_good { ProbeResult::Good } else { ProbeResult::Bad };
+    info!("probe of {}: {result:?}", probe.endpoint);
+    let report = ProbeReport { probe, result };
+    lock(&node.health.probed).entry(service).or_default().push(report);
+}
+
+/// Decides as arbiter of the owned services.
+pub(crate) async fn arbitrate(node: Arc<Node>) {
+    loop {
+        sleep(DECIDE_INTERVAL).await;
+        let now = node.now();
+        let services: std::collections::BTreeSet<ServiceName> = {
+            let config = read(&node.config);
+            config.routes().map(|route| route.policy().service.clone()).collect()
+        };
+        for service in services {
+            arbitrate_service(&node, &service, now);
+        }
+    }
+}
+
+fn arbitrate_service(node: &Node, service: &ServiceName, now: Time) {
+    let id = partition_of(service);
+    // In one step with the decision: a process that has lost the partition must not eject.
+    let may_grant = {
+        let ownership = lock(&node.ownership);
+        let lease = lock(&node.lease);
+        ownership.may_grant(id, &lease, now)
+    };
+    let views = route_views(node, service, now);
+    let mut arbiters = lock(&node.health.arbiters);
+    let Arbiters { held, services, probes } = &mut *arbiters;
+    let Some((epoch, since)) = held.get_mut(&id) else { return };
+    if *since == Time::NEVER {
+        *since = now;
+    }
+    let arbiter =
+        services.entry(service.clone()).or_insert_with(|| Arbiter::new(*epoch, *since));
+    for view in views {
+        arbiter.update_route(view, now);
+    }
+    let lease = if may_grant { QuorumLease::Valid } else { QuorumLease::Lapsed };
+    for decision in arbiter.tick(lease, now) {
+        if decision.action == Action::Probe {
+            let Decision { route, endpoint, .. } = &decision;
+            let probe = Probe { route: route.clone(), endpoint: endpoint.clone() };
+            probes.entry(endpoint.clone()).or_default().push(probe);
+        }
+        if let Action::Eject { .. } = decision.action {
+            node.metrics.ejections.inc();
+        }
+        log_decision(&decision);
+    }
+}
+
+fn log_decision(decision: &Decision) {
+    if let Action::Renew { .. } = decision.action {
+        return;
+    }
+    let document = serde_json::json!({
+        "decision": "health",
+        "route": decision.route.as_str(),
+        "endpoint": decision.endpoint.as_str(),
+        "action": format!("{:?}", decision.action),
+        "reason": &*decision.reason,
+    });
+    log::info!(target: crate::logging::DECISIONS, "{document}");
+}
--- /dev/null
+++ b/crates/node/src/limiter.rs
@@ -0,0 +1,214 @@
+//! Rate limits: takes tokens as an entry and grants them as an owner.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use limits::{Allowances, Arrival, Decision, Owner, TokenAnswer, TokenRequest, TokenResult, Wake};
+use model::{Account, AccountName, NodeName, ResultCode, Time};
+use tokio::sync::Notify;
+use tokio::time::{sleep, timeout_at};
+use wire::Frame;
+
+use crate::shared::{Map, Node, lock, read};
+
+/// Longest pause between two looks at the reports that are due.
+const MAX_TICK: Duration = Duration::from_millis(20);
+
+/// Shortest pause between two looks.
+const MIN_TICK: Duration = Duration::from_millis(2);
+
+/// Most requests in one frame.
+const MAX_BATCH: usize = 256;
+
+/// The limiter of one node.
+pub(crate) struct Limiter {
+    allowances: Mutex<Allowances>,
+    pub(crate) owner: Mutex<Owner>,
+    waiting: Map<AccountName, Arc<Waiting>>,
+}
+
+/// Calls of one account that wait for tokens.
+#[derive(Default)]
+struct Waiting {
+    answered: Notify,
+}
+
+impl Limiter {
+    pub(crate) fn new(allowances: Allowances) -> Limiter {
+        Limiter {
+            allowances: Mutex::new(allowances),
+            owner: Mutex::new(Owner::new()),
+            waiting: Map::default(),
+        }
+    }
+
+    /// Takes a token for a call, waiting for it until `wait_until`.
+    pub(crate) async fn take(
+        &self,
+        node: &Arc<Node>,
+        name: &AccountName,
+        account: &Account,
+        wait_until: Time,
+    ) -> Result<(), ResultCode> {
+        let mut arrival = Arrival::New;
+        let mut claim = Claim { limiter: self, name, state: ClaimState::Settled };
+        loop {
+            let waiting = Arc::clone(lock(&self.waiting).entry(name.clone()).or_default());
+            let answered = waiting.answered.notified();
+            tokio::pin!(answered);
+            // Registered before the decision, so that an answer in between is not missed.
+            answered.as_mut().enable();
+            let decision =
+                lock(&self.allowances).take(node.now(), name, account, wait_until, arrival);
+            let until = match decision {
+                Decision::Taken { asks, .. } => {
+                    claim.state = ClaimState::Settled;
+                    send(node, asks);
+                    return Ok(());
+                }
+                Decision::Refused { code, .. } => {
+                    claim.state = ClaimState::Settled;
+                    return Err(code);
+                }
+                Decision::Ask { asks, until } => {
+                    claim.state = ClaimState::Waiting;
+                    send(node, asks);
+                    until
+                }
+                Decision::Wait { until } => {
+                    claim.state = ClaimState::Waiting;
+                    until
+                }
+            };
+            arrival = Arrival::Waited;
+            let _ = timeout_at(node.clock.instant(until), answered).await;
+        }
+    }
+
+    /// Answers requests of an entry.
+    pub(crate) fn serve(&self, node: &Node, requests: &[TokenRequest]) -> Vec<TokenAnswer> {
+        requests.iter().filter_map(|request| self.decide(node, request)).collect()
+    }
+
+    /// Ownership, lease and bucket are looked at in one step, so that no grant is made by a process
+    /// that has lost the partition.
+    fn decide(&self, node: &Node, request: &TokenRequest) -> Option<TokenAnswer> {
+        let account = read(&node.config).account(request.account.as_str()).cloned();
+        let ownership = lock(&node.ownership);
+        let lease = lock(&node.lease);
+        let now = node.now();
+        let may_grant = ownership.may_grant(request.partition, &lease, now);
+        let lease_until = lease.valid_until(now).filter(|_| may_grant);
+        match (account, lease_until) {
+            (Some(account), Some(until)) => {
+                lock(&self.owner).request(now, until, account.value(), request)
+            }
+            _ => (request.wanted.0 > 0).then(|| refusal(request)),
+        }
+    }
+
+    fn take_answers(&self, now: Time, answers: &[TokenAnswer]) -> Vec<TokenRequest> {
+        let mut asks = Vec::new();
+        for answer in answers {
+            let Wake { asks: more, waiting } = lock(&self.allowances).answered(now, answer);
+            asks.extend(more);
+            if waiting == 0 {
+                continue;
+            }
+            if let Some(calls) = lock(&self.waiting).get(&answer.account) {
+                calls.answered.notify_waiters();
+            }
+        }
+        asks
+    }
+
+    /// Forgets accounts that nobody waits for.
+    fn sweep(&self) {
+        lock(&self.waiting).retain(|_, waiting| Arc::strong_count(waiting) > 1);
+    }
+}
+
+fn refusal(request: &TokenRequest) -> TokenAnswer {
+    let TokenRequest { account, sequence, .. } = request;
+    TokenAnswer { account: account.clone(), sequence: *sequence, result: TokenResult::NotOwner }
+}
+
+/// A call that may be waiting; dropping it while it waits withdraws it.
+struct Claim<'a> {
+    limiter: &'a Limiter,
+    name: &'a AccountName,
+    state: ClaimState,
+}
+
+#[derive(PartialEq, Eq)]
+enum ClaimState {
+    Waiting,
+    Settled,
+}
+
+impl Drop for Claim<'_> {
+    fn drop(&mut self) {
+        if self.state == ClaimState::Waiting {
+            lock(&self.limiter.allowances).withdraw(self.name);
+        }
+    }
+}
+
+/// Sends requests to the owners of their partitions.
+fn send(node: &Arc<Node>, requests: Vec<TokenRequest>) {
+    if requests.is_empty() {
+        return;
+    }
+    let mut by_owner: HashMap<Option<NodeName>, Vec<TokenRequest>> = HashMap::new();
+    let ownership = lock(&node.ownership);
+    for request in requests {
+        let owner = ownership.owner(request.partition).cloned();
+        by_owner.entry(owner).or_default().push(request);
+    }
+    drop(ownership);
+    for (owner, requests) in by_owner {
+        match owner {
+            Some(owner) if owner == node.info().node => {
+                let answers = node.limiter.serve(node, &requests);
+                let asks = node.limiter.take_answers(node.now(), &answers);
+                send(node, asks);
+            }
+            Some(owner) => {
+                tokio::spawn(ask(Arc::clone(node), owner, requests));
+            }
+            None => {
+                let wanted = requests.iter().filter(|request| request.wanted.0 > 0);
+                let answers: Vec<_> = wanted.map(refusal).collect();
+                let asks = node.limiter.take_answers(node.now(), &answers);
+                send(node, asks);
+            }
+        }
+    }
+}
+
+async fn ask(node: Arc<Node>, owner: NodeName, requests: Vec<TokenRequest>) {
+    let Some(peer) = node.peers.find(owner.as_str()) else { return };
+    for batch in requests.chunks(MAX_BATCH) {
+        let reply = peer.client.request(Frame::TokenRequests(batch.to_vec())).await;
+        let Ok(Frame::TokenAnswers(answers)) = reply else { continue };
+        let asks = node.limiter.take_answers(node.now(), &answers);
+        send(&node, asks);
+    }
+}
+
+/// Sends the reports that are due and drops what is cold.
+pub(crate) async fn tick(node: Arc<Node>) {
+    let mut rounds: u32 = 0;
+    loop {
+        let due = lock(&node.limiter.allowances).next_visit().since(node.now());
+        sleep(due.clamp(MIN_TICK, MAX_TICK)).await;
+        let reports = lock(&node.limiter.allowances).tick(node.now());
+        send(&node, reports);
+        rounds += 1;
+        if rounds.is_multiple_of(16) {
+            lock(&node.limiter.owner).sweep(node.now());
+            node.limiter.sweep();
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/loads.rs
@@ -0,0 +1,110 @@
+//! What an entry knows about the load of endpoints.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use health::PathPenalty;
+use model::{EndpointName, Time};
+use routing::KnownLoad;
+use wire::EndpointLoad;
+
+use crate::shared::{Map, lock};
+
+/// Time without any news after which an endpoint is forgotten.
+const FORGET_AFTER: Duration = Duration::from_secs(60);
+
+/// Cost of a path at the lowest weight. A path that fails every call should lose to any queue that
+/// is worth waiting in.
+const MAX_PATH_PENALTY: Duration = Duration::from_millis(500);
+
+/// Load and path of all endpoints that this entry has used or heard of.
+#[derive(Default)]
+pub(crate) struct Loads {
+    endpoints: Map<EndpointName, Known>,
+}
+
+#[derive(Default)]
+struct Known {
+    report: Option<(model::LoadReport, Time)>,
+    sent_since: u32,
+    path: PathPenalty,
+    touched: Time,
+}
+
+impl Loads {
+    /// Takes the load that a heartbeat or an answer reports.
+    pub(crate) fn update<'a>(&self, loads: impl IntoIterator<Item = &'a EndpointLoad>, now: Time) {
+        let mut endpoints = lock(&self.endpoints);
+        for load in loads {
+            let known = endpoints.entry(load.endpoint.clone()).or_default();
+            known.report = Some((load.report, now));
+            known.sent_since = 0;
+            known.touched = now;
+        }
+    }
+
+    /// Notes that a call was sent.
+    pub(crate) fn sent(&self, endpoint: &EndpointName, now: Time) {
+        let mut endpoints = lock(&self.endpoints);
+        let known = endpoints.entry(endpoint.clone()).or_default();
+        known.sent_since += 1;
+        known.touched = now;
+    }
+
+    /// Notes how a call ended.
+    pub(crate) fn ended(&self, endpoint: &EndpointName, end: PathEnd, now: Time) {
+        let mut endpoints = lock(&self.endpoints);
+        let known = endpoints.entry(endpoint.clone()).or_default();
+        known.sent_since = known.sent_since.saturating_sub(1);
+        known.touched = now;
+        match end {
+            PathEnd::Answered(latency) => known.path.record_success(latency, now),
+            PathEnd::Failed => known.path.record_failure(now),
+            PathEnd::Neutral => {}
+        }
+    }
+
+    /// Gives load and path penalty of each of the endpoints to `visit`.
+    pub(crate) fn look_up<'a>(
+        &self,
+        endpoints: impl Iterator<Item = &'a EndpointName>,
+        now: Time,
+    ) -> Vec<(Option<KnownLoad>, Duration)> {
+        let known = lock(&self.endpoints);
+        endpoints.map(|name| known.get(name).map_or((None, Duration::ZERO), |k| k.at(now))).collect()
+    }
+
+    /// Forgets endpoints that have not been heard of for long.
+    pub(crate) fn sweep(&self, now: Time) {
+        lock(&self.endpoints).retain(|_, known| now.since(known.touched) < FORGET_AFTER);
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        let endpoints: &HashMap<_, _> = &lock(&self.endpoints);
+        endpoints.len()
+    }
+}
+
+impl Known {
+    fn at(&self, now: Time) -> (Option<KnownLoad>, Duration) {
+        let load = self.report.map(|(report, at)| KnownLoad {
+            report,
+            age: now.since(at),
+            sent_since: self.sent_since,
+        });
+        let expected = self.report.map_or(Duration::ZERO, |(report, _)| report.mean_service);
+        let weight = self.path.weight(now, expected.max(Duration::from_millis(1)));
+        let lost = 100 - u32::from(weight.value());
+        (load, MAX_PATH_PENALTY * lost / 100)
+    }
+}
+
+/// How a call ended, as far as it tells something about the path.
+pub(crate) enum PathEnd {
+    /// An answer came after this time.
+    Answered(Duration),
+    /// The path or the endpoint failed.
+    Failed,
+    /// It tells nothing.
+    Neutral,
+}
--- /dev/null
+++ b/crates/node/src/owners.rs
@@ -0,0 +1,229 @@
+//! Ownership of partitions: claims, handovers and what depends on them.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use log::{info, warn};
+use membership::{Candidate, HandoverReceived, OwnerView, PlatformState, Step};
+use model::{Epoch, Kind, Object, ObjectKey, PartitionId, PartitionRecord, Revision, Time};
+use platform::{Precondition, fresh_write_id, write_resolved};
+use tokio::sync::Semaphore;
+use tokio::time::sleep;
+use wire::{Frame, HandoverReply, PartitionHandover};
+
+use crate::shared::{Node, Phase, lock, read};
+use crate::sync::blocking;
+
+/// Pause between two looks at all partitions.
+const LOOK_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Writes to the platform at the same time; a first start claims every partition at once.
+const MAX_WRITES: usize = 8;
+
+/// Time within which a claim must be written.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Bits of a grant epoch that count the handovers within one epoch of the record.
+const HOP_BITS: u32 = 16;
+
+/// Attempts to hand over one partition at a stop.
+const HANDOVER_TRIES: u32 = 3;
+
+/// Silence of a member after which its record is removed. Long enough for a restart in place.
+const REMOVE_AFTER: Duration = Duration::from_secs(120);
+
+/// Orders the holders of a partition: a handover moves it within an epoch of the record.
+fn grant_epoch(epoch: Epoch, hop: u32) -> Epoch {
+    Epoch((epoch.0 << HOP_BITS) | u64::from(hop))
+}
+
+/// Claims, keeps and gives up partitions.
+pub(crate) async fn run(node: Arc<Node>) {
+    let writes = Arc::new(Semaphore::new(MAX_WRITES));
+    loop {
+        sleep(LOOK_INTERVAL).await;
+        if node.phase() != Phase::Serving {
+            continue;
+        }
+        let live = node.peers.candidates(&node);
+        let ids: Vec<PartitionId> = (0..limits::PARTITIONS).map(PartitionId).collect();
+        for id in ids {
+            look(&node, id, &live, &writes);
+        }
+    }
+}
+
+fn look(node: &Arc<Node>, id: PartitionId, live: &[Candidate], writes: &Arc<Semaphore>) {
+    let platform = match node.platform_reachable.load(Ordering::Relaxed) {
+        true => PlatformState::Reachable,
+        false => PlatformState::Unreachable,
+    };
+    let now = node.now();
+    let mut ownership = lock(&node.ownership);
+    let step = {
+        let lease = lock(&node.lease);
+        ownership.next(id, &OwnerView { lease: &lease, live, platform }, now)
+    };
+    match step {
+        Step::Nothing | Step::WaitUntil(_) => {}
+        Step::Write { record, expected } => {
+            let node = Arc::clone(node);
+            tokio::spawn(claim(node, id, record, expected, Arc::clone(writes)));
+        }
+        Step::StartEmpty(epoch) => {
+            drop(ownership);
+            start_empty(node, id, epoch, now);
+        }
+        Step::Stop => {
+            drop(ownership);
+            info!("partition {id} is lost to another owner");
+            lock(&node.limiter.owner).lose(id);
+            node.health.lose(id);
+        }
+        Step::HandOver(to) => {
+            drop(ownership);
+            let node = Arc::clone(node);
+            tokio::spawn(async move { hand_over(&node, id, &to).await });
+        }
+    }
+}
+
+fn start_empty(node: &Node, id: PartitionId, epoch: Epoch, now: Time) {
+    let epoch = grant_epoch(epoch, 0);
+    match lock(&node.limiter.owner).gain(now, id, epoch) {
+        Ok(()) => info!("partition {id} is owned with empty buckets, epoch {epoch}"),
+        Err(err) => warn!("partition {id} was not started: {err}"),
+    }
+    node.health.gain(id, epoch);
+}
+
+async fn claim(
+    node: Arc<Node>,
+    id: PartitionId,
+    record: PartitionRecord,
+    expected: Option<Revision>,
+    writes: Arc<Semaphore>,
+) {
+    let Ok(_permit) = writes.acquire().await else { return };
+    let store = Arc::clone(&node.store);
+    let epoch = record.epoch;
+    let written = blocking(move || {
+        let key = ObjectKey::new(Kind::Partition, &id.to_string());
+        let precondition = expected.map_or(Precondition::Absent, Precondition::At);
+        let deadline = std::time::Instant::now() + WRITE_TIMEOUT;
+        let object = Object::Partition(record);
+        write_resolved(&*store, &key, precondition, Some(&object), &fresh_write_id(), deadline)
+    });
+    // The record shows in the replica, whether or not the answer arrives.
+    match written.await {
+        Ok(_) => info!("partition {id} is claimed with epoch {epoch}"),
+        Err(err) => info!("partition {id} is not claimed: {err}"),
+    }
+}
+
+/// Gives a partition to another node. From the first line on this process does not grant.
+async fn hand_over(node: &Arc<Node>, id: PartitionId, to: &Candidate) {
+    let Some(right) = lock(&node.ownership).hand_over(id, to, node.now()) else { return };
+    let Ok(buckets) = lock(&node.limiter.owner).hand_over(node.now(), id) else { return };
+    node.health.lose(id);
+    let Some(peer) = node.peers.find(to.name.as_str()) else { return };
+    let frame = Frame::Handover(Box::new(PartitionHandover { right, buckets }));
+    for _ in 0..HANDOVER_TRIES {
+        match peer.client.request(frame.clone()).await {
+            Ok(Frame::HandoverReply(HandoverReply::Taken)) => {
+                info!("partition {id} was handed over to {}", to.name);
+                return;
+            }
+            Ok(_) => {
+                warn!("{} refused partition {id}", to.name);
+                return;
+            }
+            Err(_) => {}
+        }
+    }
+    warn!("handing over partition {id} to {} was not confirmed", to.name);
+}
+
+/// Takes a handover.
+pub(crate) fn receive(node: &Node, handover: &PartitionHandover) -> HandoverReply {
+    let id = handover.right.partition;
+    let mut ownership = lock(&node.ownership);
+    match ownership.receive(&handover.right) {
+        HandoverReceived::Refused => HandoverReply::Refused,
+        HandoverReceived::Duplicate => HandoverReply::Taken,
+        HandoverReceived::Accepted => {
+            let epoch = grant_epoch(handover.right.epoch, handover.right.hop);
+            let accepted =
+                lock(&node.limiter.owner).accept(node.now(), epoch, handover.buckets.clone());
+            if let Err(err) = accepted {
+                warn!("the buckets of partition {id} were not taken: {err}");
+            }
+            drop(ownership);
+            node.health.gain(id, epoch);
+            info!("partition {id} was taken over, epoch {epoch}");
+            HandoverReply::Taken
+        }
+    }
+}
+
+/// Hands all partitions over at a graceful stop.
+pub(crate) async fn hand_over_all(node: &Arc<Node>) {
+    let live = node.peers.candidates(node);
+    let held: Vec<PartitionId> = lock(&node.limiter.owner).partitions().collect();
+    let moves = held.into_iter().filter_map(|id| {
+        let to = lock(&node.ownership).successor(id, &live).cloned()?;
+        Some(async move { hand_over(node, id, &to).await })
+    });
+    futures_util::future::join_all(moves).await;
+}
+
+/// Removes records of members that have been silent for long, one at a time, so that the majorities
+/// of consecutive member lists always share a node.
+pub(crate) async fn remove_dead_members(node: Arc<Node>) {
+    let mut silent_since = std::collections::HashMap::new();
+    loop {
+        sleep(REMOVE_AFTER / 8).await;
+        let now = node.now();
+        let mut oldest: Option<(model::NodeName, Time)> = None;
+        {
+            let config = read(&node.config);
+            let lease = lock(&node.lease);
+            silent_since.retain(|name, _| config.member(name).is_some());
+            for (name, _) in config.members() {
+                if lease.is_alive(name, now) {
+                    silent_since.remove(name);
+                    continue;
+                }
+                let since = *silent_since.entry(name.clone()).or_insert(now);
+                if oldest.as_ref().is_none_or(|(_, at)| since < *at) {
+                    oldest = Some((name.clone(), since));
+                }
+            }
+        }
+        // One node does the work; the owner of the first partition is known to all.
+        let is_responsible = lock(&node.ownership).owner(PartitionId(0)) == Some(&node.info().node);
+        if let Some((name, since)) = oldest
+            && is_responsible
+            && now.since(since) >= REMOVE_AFTER
+            && crate::guard::require_lease(&node).is_ok()
+        {
+            remove_member(&node, &name).await;
+        }
+    }
+}
+
+async fn remove_member(node: &Arc<Node>, name: &model::NodeName) {
+    let key = ObjectKey::new(Kind::Node, name.as_str());
+    let Some(revision) = read(&node.config).member(name).map(|record| record.revision()) else {
+        return;
+    };
+    let store = Arc::clone(&node.store);
+    let removed = blocking(move || {
+        store.write(&key, Precondition::At(revision), None, &fresh_write_id())
+    });
+    match removed.await {
+        Ok(_) => info!("the record of {name} was removed after {REMOVE_AFTER:?} of silence"),
+        Err(err) => info!("the record of {name} was not removed: {err}"),
+    }
+}
--- /dev/null
+++ b/crates/node/src/records.rs
@@ -0,0 +1,107 @@
+//! Records of recent requests, from which one request can be explained.
+
+use std::collections::{HashMap, VecDeque};
+use std::sync::Mutex;
+use std::time::Duration;
+
+use model::{AccountName, EndpointName, RequestId, ResultCode, RouteName};
+use serde::Serialize;
+
+use crate::shared::lock;
+
+/// Requests that are remembered; at the design size a node sees about 780 a second.
+const MAX_RECORDS: usize = 8192;
+
+/// One attempt of a request.
+#[derive(Debug, Clone, Serialize)]
+pub(crate) struct AttemptRecord {
+    /// Time from the arrival of the request to the end of the attempt.
+    #[serde(skip)]
+    pub(crate) at: Duration,
+    pub(crate) endpoint: EndpointName,
+    pub(crate) node: Box<str>,
+    pub(crate) reason: Box<str>,
+    pub(crate) considered: usize,
+    pub(crate) end: Box<str>,
+}
+
+/// How a request ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum End {
+    /// An answer of the upstream, with its status.
+    Answered(u16),
+    /// An answer of the fleet.
+    Coded(ResultCode),
+}
+
+/// One request.
+#[derive(Debug, Clone)]
+pub(crate) struct RequestRecord {
+    pub(crate) id: RequestId,
+    pub(crate) method: Box<str>,
+    pub(crate) path: Box<str>,
+    pub(crate) route: Option<RouteName>,
+    pub(crate) account: Option<AccountName>,
+    pub(crate) attempts: Vec<AttemptRecord>,
+    pub(crate) end: End,
+    pub(crate) took: Duration,
+}
+
+impl RequestRecord {
+    /// The record as a JSON document, for the decision log and for operators.
+    pub(crate) fn to_json(&self) -> serde_json::Value {
+        let (status, code, outcome) = match self.end {
+            End::Answered(status) => (status, 0, "answered".to_owned()),
+            End::Coded(code) => (code.status(), code.number(), code.outcome().to_string()),
+        };
+        serde_json::json!({
+            "decision": "request",
+            "request_id": self.id.as_str(),
+            "method": &*self.method,
+            "path": &*self.path,
+            "route": self.route.as_ref().map(RouteName::as_str),
+            "account": self.account.as_ref().map(AccountName::as_str),
+            "attempts": &self.attempts,
+            "status": status,
+            "code": code,
+            "outcome": outcome,
+            "reason": match self.end {
+                End::Answered(_) => "the upstream answered",
+                End::Coded(code) => code.text(),
+            },
+            "took_ms": self.took.as_secs_f64() * 1000.0,
+        })
+    }
+}
+
+/// The most recent requests.
+pub(crate) struct Records {
+    state: Mutex<State>,
+}
+
+#[derive(Default)]
+struct State {
+    order: VecDeque<RequestId>,
+    by_id: HashMap<RequestId, RequestRecord>,
+}
+
+impl Records {
+    pub(crate) fn new() -> Records {
+        Records { state: Mutex::default() }
+    }
+
+    pub(crate) fn add(&self, record: RequestRecord) {
+        let mut state = lock(&self.state);
+        if state.order.len() == MAX_RECORDS
+            && let Some(oldest) = state.order.pop_front()
+        {
+            state.by_id.remove(&oldest);
+        }
+        state.order.push_back(record.id.clone());
+        state.by_id.insert(record.id.clone(), record);
+    }
+
+    pub(crate) fn find(&self, id: &RequestId) -> Option<RequestRecord> {
+        lock(&self.state).by_id.get(id).cloned()
+    }
+}
--- a/crates/payload/src/lib.rs
+++ b/crates/payload/src/lib.rs
@@ -113,8 +113,10 @@
     pub max_bytes: u64,
 }
 
+/// Something that lasts as long as a body is in transit, for example a slot of an upstream.
+pub type Hold = Box<dyn std::any::Any + Send + Sync>;
+
 /// A body, complete or streamed.
-#[derive(Debug)]
 pub enum Payload {
     /// The rest of the body is in memory.
     Full(Bytes),
@@ -122,6 +124,17 @@
     Stream(PayloadReceiver),
     /// Chunks that were read ahead, followed by the rest.
     Chained(Bytes, Box<Payload>),
+    /// A body that drops something when it ends.
+    Held(Box<Payload>, Hold),
+}
+
+impl fmt::Debug for Payload {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Payload::Full(bytes) => write!(f, "Payload({} bytes)", bytes.len()),
+            _ => f.write_str("Payload(stream)"),
+        }
+    }
 }
 
 /// What reading ahead found.
@@ -158,6 +171,14 @@
         payload
     }
 
+    /// Keeps `hold` until the body has ended or is dropped. A body in memory drops it at once.
+    pub fn hold(self, hold: Hold) -> Payload {
+        match self {
+            Payload::Full(_) => self,
+            rest => Payload::Held(Box::new(rest), hold),
+        }
+    }
+
     /// The next chunk, or `None` at the end of the body.
     pub async fn next(&mut self) -> Option<Result<Bytes, BodyCut>> {
         std::future::poll_fn(|cx| self.poll_next(cx)).await
@@ -182,6 +203,13 @@
         match self {
             Payload::Full(bytes) if bytes.is_empty() => Poll::Ready(None),
             Payload::Full(bytes) => Poll::Ready(Some(Ok(std::mem::take(bytes)))),
+            Payload::Held(rest, _) => {
+                let next = rest.poll_next(cx);
+                if matches!(next, Poll::Ready(None | Some(Err(_)))) {
+                    *self = Payload::empty();
+                }
+                next
+            }
             Payload::Stream(receiver) => {
                 let Poll::Ready(item) = receiver.rx.poll_recv(cx) else { return Poll::Pending };
                 match item {
--- a/crates/peer/src/call_link.rs
+++ b/crates/peer/src/call_link.rs
@@ -6,7 +6,7 @@
 
 use model::{AttemptId, Incarnation, ResultCode};
 use payload::{BodyCut, Payload, PayloadSender};
-use wire::{Call, Chunk, EndpointLoad, Frame, Header, MAX_CHUNK_BYTES, Purpose};
+use wire::{Call, BodyPart, EndpointLoad, Frame, Header, MAX_CHUNK_BYTES, Purpose};
 
 use crate::handshake::{Identity, dial};
 use crate::link::{Link, LinkError};
@@ -202,14 +202,14 @@
     let lost = |_| CallError::Unknown(ResultCode::LinkLost);
     match chunk {
         None => {
-            let last = Chunk { bytes: Vec::new(), last: true };
+            let last = BodyPart { bytes: Vec::new(), last: true };
             link.send(&Frame::CallBody(last)).await.map_err(lost)?;
             Ok(true)
         }
         Some(Ok(bytes)) => {
-            for part in bytes.chunks(MAX_CHUNK_BYTES) {
-                let chunk = Chunk { bytes: part.to_vec(), last: false };
-                link.send(&Frame::CallBody(chunk)).await.map_err(lost)?;
+            for bytes in bytes.chunks(MAX_CHUNK_BYTES) {
+                let part = BodyPart { bytes: bytes.to_vec(), last: false };
+                link.send(&Frame::CallBody(part)).await.map_err(lost)?;
             }
             Ok(false)
         }
@@ -232,7 +232,7 @@
             () = tx.closed() => return BodyEnd::NotWanted,
         };
         let chunk = match frame {
-            Ok(Frame::AnswerBody { attempt: answered, chunk }) if answered == attempt => chunk,
+            Ok(Frame::AnswerBody { attempt: answered, part: chunk }) if answered == attempt => chunk,
             _ => return BodyEnd::Cut,
         };
         if tx.send(chunk.bytes.into()).await.is_err() {
--- a/crates/peer/src/control.rs
+++ b/crates/peer/src/control.rs
@@ -125,3 +125,21 @@
     }
     Some(err)
 }
+
+/// Makes a link for one exchange: sends a request, hands each reply to `next`, and sends what that
+/// returns until it returns `None`.
+pub async fn request_all(
+    addr: SocketAddr,
+    identity: &Identity,
+    first: Frame,
+    mut next: impl FnMut(Frame) -> Option<Frame>,
+) -> Result<(), LinkError> {
+    let (mut link, _) = dial(addr, identity, Purpose::Control).await?;
+    let mut request = Some(first);
+    while let Some(frame) = request {
+        link.send(&frame).await?;
+        let reply = tokio::time::timeout(REPLY_TIMEOUT, link.recv()).await;
+        request = next(reply.map_err(|_| LinkError::TimedOut)??);
+    }
+    Ok(())
+}
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -11,10 +11,10 @@
 mod server;
 
 pub use call_link::{CallAnswer, CallError, CallPool, Target};
-pub use control::{ControlClient, ControlEvents};
+pub use control::{ControlClient, ControlEvents, request_all};
 pub use handshake::{Identity, Secret};
 pub use link::{Link, LinkError};
-pub use server::{CallReply, PeerHandler, serve};
+pub use server::{CallReply, PeerHandler, PendingReply, serve};
 
 use model::{FailureDomain, Incarnation, NodeName, Time};
 
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -10,7 +10,7 @@
 use model::{AttemptId, ResultCode};
 use payload::{Payload, PayloadSender};
 use tokio::net::{TcpListener, TcpStream};
-use wire::{AnswerHead, Call, Chunk, EndpointLoad, Frame, Header, MAX_CHUNK_BYTES, Purpose};
+use wire::{AnswerHead, Call, BodyPart, EndpointLoad, Frame, Header, MAX_CHUNK_BYTES, Purpose};
 
 use crate::PeerInfo;
 use crate::handshake::{Identity, accept};
@@ -161,7 +161,7 @@
     /// More frames follow.
     Open(PayloadSender),
     /// A chunk waits for room.
-    Pending(PayloadSender, Chunk),
+    Pending(PayloadSender, BodyPart),
     /// The upstream takes no more; the rest is read and dropped.
     Unwanted,
     /// Every frame was read.
@@ -221,9 +221,9 @@
     };
     let first = match &mut body {
         Payload::Full(bytes) if bytes.len() <= MAX_CHUNK_BYTES => {
-            Chunk { bytes: std::mem::take(bytes).to_vec(), last: true }
+            BodyPart { bytes: std::mem::take(bytes).to_vec(), last: true }
         }
-        _ => Chunk { bytes: Vec::new(), last: false },
+        _ => BodyPart { bytes: Vec::new(), last: false },
     };
     let last = first.last;
     let head = AnswerHead { attempt, status, headers, body: first, load };
@@ -241,13 +241,13 @@
         };
         match next {
             None => {
-                let chunk = Chunk { bytes: Vec::new(), last: true };
-                return link.send(&Frame::AnswerBody { attempt, chunk }).await;
+                let part = BodyPart { bytes: Vec::new(), last: true };
+                return link.send(&Frame::AnswerBody { attempt, part }).await;
             }
             Some(Ok(bytes)) => {
-                for part in bytes.chunks(MAX_CHUNK_BYTES) {
-                    let chunk = Chunk { bytes: part.to_vec(), last: false };
-                    link.send(&Frame::AnswerBody { attempt, chunk }).await?;
+                for bytes in bytes.chunks(MAX_CHUNK_BYTES) {
+                    let part = BodyPart { bytes: bytes.to_vec(), last: false };
+                    link.send(&Frame::AnswerBody { attempt, part }).await?;
                 }
             }
             Some(Err(_)) => {
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,4 +1,5 @@
 //! Stand-ins of the platform and of upstreams, for tests and the demo.
 
 pub mod platform;
+pub mod process;
 pub mod upstream;
--- /dev/null
+++ b/crates/standins/src/process.rs
@@ -0,0 +1,215 @@
+//! Starts the product's nodes as real processes, for tests and the demo.
+
+use std::fs::{self, File};
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+/// Credential of the operator ports.
+pub const CREDENTIAL: &str = "operator-credential-for-tests";
+
+/// Time between two looks at a condition.
+const POLL: Duration = Duration::from_millis(20);
+
+/// A process that is ended when it is dropped.
+pub struct Process {
+    child: Child,
+}
+
+/// Signals that tests send.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Signal {
+    /// Asks for a graceful stop.
+    Terminate,
+    /// Pauses the process.
+    Pause,
+    /// Resumes a paused process.
+    Resume,
+    /// Ends the process at once.
+    Kill,
+}
+
+impl Signal {
+    fn name(self) -> &'static str {
+        match self {
+            Signal::Terminate => "TERM",
+            Signal::Pause => "STOP",
+            Signal::Resume => "CONT",
+            Signal::Kill => "KILL",
+        }
+    }
+}
+
+impl Process {
+    /// Starts a program with its output in a file.
+    pub fn start(program: &Path, args: &[&str], log: &Path) -> io::Result<Process> {
+        let log = File::create(log)?;
+        let child = Command::new(program)
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()?;
+        Ok(Process { child })
+    }
+
+    /// Sends a signal to this process only.
+    pub fn signal(&self, signal: Signal) -> io::Result<()> {
+        let pid = self.child.id().to_string();
+        let status = Command::new("kill").args(["-s", signal.name(), &pid]).status()?;
+        if status.success() { Ok(()) } else { Err(io::Error::other(format!("kill: {status}"))) }
+    }
+
+    /// Waits for the process to end, and tells whether it did so with success.
+    pub fn wait(&mut self, within: Duration) -> Option<bool> {
+        let deadline = Instant::now() + within;
+        loop {
+            if let Ok(Some(status)) = self.child.try_wait() {
+                return Some(status.success());
+            }
+            if Instant::now() >= deadline {
+                return None;
+            }
+            std::thread::sleep(POLL);
+        }
+    }
+
+    /// The process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// What a test may choose of a node.
+#[derive(Debug, Clone)]
+pub struct NodeOptions {
+    /// Name of the node.
+    pub name: String,
+    /// Its failure domain.
+    pub domain: String,
+    /// URL of the platform.
+    pub platform: String,
+    /// Address under which other nodes reach it, if not its own; for example that of a proxy which
+    /// cuts links.
+    pub advertise: Option<SocketAddr>,
+    /// Address on which it takes other nodes, if it has to be known beforehand.
+    pub peer: Option<SocketAddr>,
+    /// Peers to ask for the configuration while the platform is away.
+    pub seeds: Vec<SocketAddr>,
+    /// Further lines of the settings file; each starts with its section.
+    pub extra: String,
+}
+
+/// A node as a process.
+pub struct NodeProcess {
+    /// The process.
+    pub process: Process,
+    /// Where callers reach it.
+    pub caller: SocketAddr,
+    /// Where other nodes reach it.
+    pub peer: SocketAddr,
+    /// Where upstreams announce themselves.
+    pub announce: SocketAddr,
+    /// Where operators reach it.
+    pub operator: SocketAddr,
+    /// Its log.
+    pub log: PathBuf,
+}
+
+impl NodeProcess {
+    /// Writes the settings of a node and starts it.
+    pub fn start(binary: &Path, dir: &Path, options: &NodeOptions) -> io::Result<NodeProcess> {
+        let [caller, peer, announce, operator] = free_addrs()?;
+        let peer = options.peer.unwrap_or(peer);
+        let advertise = options.advertise.unwrap_or(peer);
+        let NodeOptions { name, domain, platform, seeds, extra, .. } = options;
+        let seeds: Vec<String> = seeds.iter().map(SocketAddr::to_string).collect();
+        let settings = format!(
+            "[node]\nname = {name}\ndomain = {domain}\n\
+             [caller]\nlisten = {caller}\n\
+             [peer]\nlisten = {peer}\nadvertise = {advertise}\n\
+             [upstream]\nlisten = {announce}\n\
+             [operator]\nlisten = {operator}\ncredential = {CREDENTIAL}\n\
+             [platform]\nurl = {platform}\n\
+             [fleet]\nsecret = fleet-secret-for-tests\nseeds = {}\n{extra}",
+            seeds.join(",")
+        );
+        let file = dir.join(format!("{name}.ini"));
+        fs::write(&file, settings)?;
+        let log = dir.join(format!("{name}.log"));
+        let file = file.to_str().ok_or_else(|| io::Error::other("the path is not UTF-8"))?;
+        let process = Process::start(binary, &["node", file], &log)?;
+        Ok(NodeProcess { process, caller, peer, announce, operator, log })
+    }
+
+    /// Tells whether the node says that it is ready.
+    pub fn is_ready(&self) -> bool {
+        ureq::get(&format!("http://{}/ready", self.operator)).call().is_ok()
+    }
+
+    /// Waits until the node is ready.
+    pub fn wait_ready(&self, within: Duration) -> io::Result<()> {
+        match wait_until(within, || self.is_ready()) {
+            true => Ok(()),
+            false => Err(io::Error::other(format!("not ready within {within:?}"))),
+        }
+    }
+}
+
+/// Waits until a condition holds, and tells whether it did in time.
+pub fn wait_until(within: Duration, mut condition: impl FnMut() -> bool) -> bool {
+    let deadline = Instant::now() + within;
+    loop {
+        if condition() {
+            return true;
+        }
+        if Instant::now() >= deadline {
+            return false;
+        }
+        std::thread::sleep(POLL);
+    }
+}
+
+/// Free loopback addresses. All are held until the last is known, so that they differ.
+pub fn free_addrs<const N: usize>() -> io::Result<[SocketAddr; N]> {
+    let listeners: Vec<TcpListener> =
+        (0..N).map(|_| TcpListener::bind((Ipv4Addr::LOCALHOST, 0))).collect::<Result<_, _>>()?;
+    let addrs: Vec<SocketAddr> =
+        listeners.iter().map(TcpListener::local_addr).collect::<Result<_, _>>()?;
+    addrs.try_into().map_err(|_| io::Error::other("too few addresses"))
+}
+
+/// A directory that is removed when it is dropped.
+pub struct TempDir {
+    path: PathBuf,
+}
+
+impl TempDir {
+    /// Makes an empty directory.
+    pub fn new(name: &str) -> io::Result<TempDir> {
+        let unique: u64 = rand::random();
+        let path = std::env::temp_dir().join(format!("zinniacross-{name}-{unique:016x}"));
+        fs::create_dir_all(&path)?;
+        Ok(TempDir { path })
+    }
+
+    /// Its path.
+    pub fn path(&self) -> &Path {
+        &self.path
+    }
+}
+
+impl Drop for TempDir {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.path);
+    }
+}
--- a/crates/wire/src/encoding.rs
+++ b/crates/wire/src/encoding.rs
@@ -6,17 +6,20 @@
 use std::fmt;
 use std::time::Duration;
 
+use config::Chunk as Transfer;
 use model::{
-    AttemptId, Endpoint, Incarnation, Kind, Object, ObjectKey, ResultCode, Revision, StoredObject,
-    Time,
+    AttemptId, Endpoint, Incarnation, Kind, LoadReport, Object, ObjectKey, ResultCode, Revision,
+    Slots, StoredObject, Time,
 };
 use serde::{Deserialize, Serialize};
 use serde_bytes::ByteBuf;
 
 use crate::frame::{
-    AnswerHead, Call, Chunk, EndpointLoad, FenceStatus, Frame, Head, Header, Hello, Objects, Ping,
-    Pong, Purpose, Table, Welcome,
+    AnswerHead, BodyPart, Call, EndpointLoad, FenceStatus, Frame, HandoverReply, Head, Header, Hello,
+    Ping, Pong, Purpose, Table, Welcome,
 };
+use crate::health::{self, WireReply, WireUpdate};
+use crate::tokens::{self, WireHandover, WireTokenAnswer, WireTokenRequest};
 use crate::{MAX_CHUNK_BYTES, MAX_FRAME_BYTES};
 
 /// A frame could not be read.
@@ -32,7 +35,7 @@
         self.code
     }
 
-    fn invalid(reason: impl fmt::Display) -> DecodeError {
+    pub(crate) fn invalid(reason: impl fmt::Display) -> DecodeError {
         DecodeError { code: ResultCode::FrameInvalid, reason: reason.to_string().into() }
     }
 }
@@ -75,11 +78,11 @@
 /// Deepest nesting of a frame: the enum, the frame, a list, its element and its fields.
 const MAX_NESTING: usize = 16;
 
-type WireLoad = (String, u32, u32, u64);
+type WireLoad = (String, u32, u32, u32, u64);
 type WireHeader = (String, ByteBuf);
 type WireHead = (String, String, Vec<WireHeader>);
 type WireAttempt = (u64, u64);
-type WireChunk = (ByteBuf, bool);
+type WireBody = (ByteBuf, bool);
 type WireObject = (String, String, u64, String, Option<ByteBuf>);
 
 /// The variants are renamed to one or two letters, since heartbeats are the bulk of the control
@@ -99,9 +102,11 @@
     #[serde(rename = "q")]
     Pong(u64, u64, u64, bool, Option<u64>, u64, Vec<WireLoad>),
     #[serde(rename = "pu")]
-    Pull(u64, u32),
+    Pull(u64),
+    #[serde(rename = "pm")]
+    PullMore,
     #[serde(rename = "ob")]
-    Objects(u64, u64, u32, bool, Vec<WireObject>),
+    Objects(Option<u64>, u64, u64, u32, bool, Vec<WireObject>),
     #[serde(rename = "pt")]
     PullTable,
     #[serde(rename = "ta")]
@@ -111,19 +116,31 @@
     #[serde(rename = "c")]
     Call(Box<WireCall>),
     #[serde(rename = "cb")]
-    CallBody(WireChunk),
+    CallBody(WireBody),
     #[serde(rename = "rf")]
     Refused(WireAttempt, u16, Option<WireLoad>),
     #[serde(rename = "fa")]
     Failed(WireAttempt, u16),
     #[serde(rename = "a")]
-    Answer(WireAttempt, u16, Vec<WireHeader>, WireChunk, WireLoad),
+    Answer(WireAttempt, u16, Vec<WireHeader>, WireBody, WireLoad),
     #[serde(rename = "ab")]
-    AnswerBody(WireAttempt, WireChunk),
+    AnswerBody(WireAttempt, WireBody),
     #[serde(rename = "fe")]
-    Fence(WireAttempt),
+    Fence(WireAttempt, u64),
     #[serde(rename = "fd")]
     Fenced(WireAttempt, u8),
+    #[serde(rename = "tr")]
+    TokenRequests(Vec<WireTokenRequest>),
+    #[serde(rename = "tg")]
+    TokenAnswers(Vec<WireTokenAnswer>),
+    #[serde(rename = "ho")]
+    Handover(Box<WireHandover>),
+    #[serde(rename = "hr")]
+    HandoverReply(bool),
+    #[serde(rename = "hu")]
+    HealthUpdate(Box<WireUpdate>),
+    #[serde(rename = "hy")]
+    HealthReply(Box<WireReply>),
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -135,9 +152,8 @@
     Option<(String, String)>,
     u64,
     u64,
-    u64,
     WireHead,
-    WireChunk,
+    WireBody,
 );
 
 impl From<&Frame> for WireFrame {
@@ -157,13 +173,14 @@
                 WireFrame::Ping(ping.sequence, ping.revision.0, ping.table_version)
             }
             Frame::Pong(pong) => pong_to_wire(pong),
-            Frame::Pull { from, index } => WireFrame::Pull(from.0, *index),
-            Frame::Objects(objects) => objects_to_wire(objects),
+            Frame::Pull(from) => WireFrame::Pull(from.0),
+            Frame::PullMore => WireFrame::PullMore,
+            Frame::Objects(transfer) => transfer_to_wire(transfer),
             Frame::PullTable => WireFrame::PullTable,
             Frame::Table(table) => table_to_wire(table),
             Frame::Done => WireFrame::Done,
             Frame::Call(call) => WireFrame::Call(Box::new(call_to_wire(call))),
-            Frame::CallBody(chunk) => WireFrame::CallBody(chunk_to_wire(chunk)),
+            Frame::CallBody(part) => WireFrame::CallBody(body_to_wire(part)),
             Frame::Refused { attempt, code, load } => WireFrame::Refused(
                 attempt_to_wire(attempt),
                 code.number(),
@@ -176,16 +193,36 @@
                 attempt_to_wire(&answer.attempt),
                 answer.status,
                 headers_to_wire(&answer.headers),
-                chunk_to_wire(&answer.body),
+                body_to_wire(&answer.body),
                 load_to_wire(&answer.load),
             ),
-            Frame::AnswerBody { attempt, chunk } => {
-                WireFrame::AnswerBody(attempt_to_wire(attempt), chunk_to_wire(chunk))
+            Frame::AnswerBody { attempt, part } => {
+                WireFrame::AnswerBody(attempt_to_wire(attempt), body_to_wire(part))
+            }
+            Frame::Fence { attempt, start_by } => {
+                WireFrame::Fence(attempt_to_wire(attempt), start_by.as_micros())
             }
-            Frame::Fence(attempt) => WireFrame::Fence(attempt_to_wire(attempt)),
             Frame::Fenced { attempt, status } => {
                 WireFrame::Fenced(attempt_to_wire(attempt), fence_status_to_wire(*status))
             }
+            Frame::TokenRequests(requests) => {
+                WireFrame::TokenRequests(requests.iter().map(tokens::request_to_wire).collect())
+            }
+            Frame::TokenAnswers(answers) => {
+                WireFrame::TokenAnswers(answers.iter().map(tokens::answer_to_wire).collect())
+            }
+            Frame::Handover(handover) => {
+                WireFrame::Handover(Box::new(tokens::handover_to_wire(handover)))
+            }
+            Frame::HandoverReply(reply) => {
+                WireFrame::HandoverReply(*reply == HandoverReply::Taken)
+            }
+            Frame::HealthUpdate(update) => {
+                WireFrame::HealthUpdate(Box::new(health::update_to_wire(update)))
+            }
+            Frame::HealthReply(reply) => {
+                WireFrame::HealthReply(Box::new(health::reply_to_wire(reply)))
+            }
         }
     }
 }
@@ -231,14 +268,18 @@
                     loads: loads.into_iter().map(load_from_wire).collect::<Result<_, _>>()?,
                 })
             }
-            WireFrame::Pull(from, index) => Frame::Pull { from: Revision(from), index },
-            WireFrame::Objects(from, to, index, last, objects) => Frame::Objects(Objects {
-                from: Revision(from),
-                to: Revision(to),
-                index,
-                last,
-                objects: objects.into_iter().map(object_from_wire).collect::<Result<_, _>>()?,
-            }),
+            WireFrame::Pull(from) => Frame::Pull(Revision(from)),
+            WireFrame::PullMore => Frame::PullMore,
+            WireFrame::Objects(from, floor, to, index, last, objects) => {
+                Frame::Objects(Transfer {
+                    from: from.map(Revision),
+                    floor: Revision(floor),
+                    to: Revision(to),
+                    index,
+                    last,
+                    objects: objects.into_iter().map(object_from_wire).collect::<Result<_, _>>()?,
+                })
+            }
             WireFrame::PullTable => Frame::PullTable,
             WireFrame::Table(version, endpoints) => Frame::Table(Table {
                 version,
@@ -251,7 +292,7 @@
             }),
             WireFrame::Done => Frame::Done,
             WireFrame::Call(call) => Frame::Call(Box::new(call_from_wire(*call)?)),
-            WireFrame::CallBody(chunk) => Frame::CallBody(chunk_from_wire(chunk)?),
+            WireFrame::CallBody(part) => Frame::CallBody(body_from_wire(part)?),
             WireFrame::Refused(attempt, number, load) => Frame::Refused {
                 attempt: attempt_from_wire(attempt),
                 code: refusal(number)?,
@@ -265,19 +306,39 @@
                     attempt: attempt_from_wire(attempt),
                     status: http_status(status)?,
                     headers: headers_from_wire(headers),
-                    body: chunk_from_wire(body)?,
+                    body: body_from_wire(body)?,
                     load: load_from_wire(load)?,
                 }))
             }
-            WireFrame::AnswerBody(attempt, chunk) => Frame::AnswerBody {
+            WireFrame::AnswerBody(attempt, part) => Frame::AnswerBody {
                 attempt: attempt_from_wire(attempt),
-                chunk: chunk_from_wire(chunk)?,
+                part: body_from_wire(part)?,
+            },
+            WireFrame::Fence(attempt, start_by) => Frame::Fence {
+                attempt: attempt_from_wire(attempt),
+                start_by: Time::from_micros(start_by),
             },
-            WireFrame::Fence(attempt) => Frame::Fence(attempt_from_wire(attempt)),
             WireFrame::Fenced(attempt, status) => Frame::Fenced {
                 attempt: attempt_from_wire(attempt),
                 status: fence_status_from_wire(status)?,
             },
+            WireFrame::TokenRequests(requests) => Frame::TokenRequests(
+                requests.into_iter().map(tokens::request_from_wire).collect::<Result<_, _>>()?,
+            ),
+            WireFrame::TokenAnswers(answers) => Frame::TokenAnswers(
+                answers.into_iter().map(tokens::answer_from_wire).collect::<Result<_, _>>()?,
+            ),
+            WireFrame::Handover(handover) => {
+                Frame::Handover(Box::new(tokens::handover_from_wire(*handover)?))
+            }
+            WireFrame::HandoverReply(true) => Frame::HandoverReply(HandoverReply::Taken),
+            WireFrame::HandoverReply(false) => Frame::HandoverReply(HandoverReply::Refused),
+            WireFrame::HealthUpdate(update) => {
+                Frame::HealthUpdate(Box::new(health::update_from_wire(*update)?))
+            }
+            WireFrame::HealthReply(reply) => {
+                Frame::HealthReply(Box::new(health::reply_from_wire(*reply)?))
+            }
         })
     }
 }
@@ -318,24 +379,25 @@
 }
 
 fn load_to_wire(load: &EndpointLoad) -> WireLoad {
-    let mean_service = load.mean_service.as_micros() as u64;
-    (load.endpoint.to_string(), load.running, load.queued, mean_service)
+    let LoadReport { slots, running, queued, mean_service } = load.report;
+    (load.endpoint.to_string(), slots.0, running, queued, mean_service.as_micros() as u64)
 }
 
-fn load_from_wire(
-    (endpoint, running, queued, micros): WireLoad,
-) -> Result<EndpointLoad, DecodeError> {
+fn load_from_wire(load: WireLoad) -> Result<EndpointLoad, DecodeError> {
+    let (endpoint, slots, running, queued, micros) = load;
     let mean_service = Duration::from_micros(micros);
-    Ok(EndpointLoad { endpoint: id(endpoint)?, running, queued, mean_service })
+    let report = LoadReport { slots: Slots(slots), running, queued, mean_service };
+    Ok(EndpointLoad { endpoint: id(endpoint)?, report })
 }
 
-fn objects_to_wire(objects: &Objects) -> WireFrame {
+fn transfer_to_wire(transfer: &Transfer) -> WireFrame {
     WireFrame::Objects(
-        objects.from.0,
-        objects.to.0,
-        objects.index,
-        objects.last,
-        objects.objects.iter().map(object_to_wire).collect(),
+        transfer.from.map(|from| from.0),
+        transfer.floor.0,
+        transfer.to.0,
+        transfer.index,
+        transfer.last,
+        transfer.objects.iter().map(object_to_wire).collect(),
     )
 }
 
@@ -378,19 +440,18 @@
         call.route.to_string(),
         account.map(|(account, key)| (account.to_string(), key.to_string())),
         call.start_by.as_micros(),
-        call.time_to_run.as_micros() as u64,
         call.revision.0,
         (
             call.head.method.to_string(),
             call.head.target.to_string(),
             headers_to_wire(&call.head.headers),
         ),
-        chunk_to_wire(&call.body),
+        body_to_wire(&call.body),
     )
 }
 
 fn call_from_wire(call: WireCall) -> Result<Call, DecodeError> {
-    let WireCall(attempt, request, endpoint, route, account, start_by, run, revision, head, body) =
+    let WireCall(attempt, request, endpoint, route, account, start_by, revision, head, body) =
         call;
     let account =
         account.map(|(account, key)| Ok::<_, DecodeError>((id(account)?, id(key)?))).transpose()?;
@@ -401,14 +462,13 @@
         route: id(route)?,
         account,
         start_by: Time::from_micros(start_by),
-        time_to_run: Duration::from_micros(run),
         revision: Revision(revision),
         head: Head {
             method: head.0.into(),
             target: head.1.into(),
             headers: headers_from_wire(head.2),
         },
-        body: chunk_from_wire(body)?,
+        body: body_from_wire(body)?,
     })
 }
 
@@ -426,16 +486,16 @@
         .collect()
 }
 
-fn chunk_to_wire(chunk: &Chunk) -> WireChunk {
-    (ByteBuf::from(chunk.bytes.clone()), chunk.last)
+fn body_to_wire(part: &BodyPart) -> WireBody {
+    (ByteBuf::from(part.bytes.clone()), part.last)
 }
 
-fn chunk_from_wire((bytes, last): WireChunk) -> Result<Chunk, DecodeError> {
+fn body_from_wire((bytes, last): WireBody) -> Result<BodyPart, DecodeError> {
     if bytes.len() > MAX_CHUNK_BYTES {
         let reason = format!("a chunk of {} bytes", bytes.len()).into();
         return Err(DecodeError { code: ResultCode::FrameTooLarge, reason });
     }
-    Ok(Chunk { bytes: bytes.into_vec(), last })
+    Ok(BodyPart { bytes: bytes.into_vec(), last })
 }
 
 fn attempt_to_wire(attempt: &AttemptId) -> WireAttempt {
@@ -451,6 +511,7 @@
         FenceStatus::NotRun => 0,
         FenceStatus::Running => 1,
         FenceStatus::Ran => 2,
+        FenceStatus::Unknown => 3,
     }
 }
 
@@ -459,6 +520,7 @@
         0 => Ok(FenceStatus::NotRun),
         1 => Ok(FenceStatus::Running),
         2 => Ok(FenceStatus::Ran),
+        3 => Ok(FenceStatus::Unknown),
         other => Err(DecodeError::invalid(format!("unknown fence status {other}"))),
     }
 }
@@ -485,7 +547,7 @@
     Err(DecodeError::invalid(format!("refusal with result code {number}")))
 }
 
-fn id<T: TryFrom<String>>(text: String) -> Result<T, DecodeError>
+pub(crate) fn id<T: TryFrom<String>>(text: String) -> Result<T, DecodeError>
 where
     T::Error: fmt::Display,
 {
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -2,9 +2,12 @@
 
 use std::time::Duration;
 
+use config::Chunk as Transfer;
+use health::{EjectionList, HealthReport, HeldEjection, ProbeResult};
+use limits::{TokenAnswer, TokenRequest};
 use model::{
-    AccountName, AttemptId, Endpoint, EndpointName, FailureDomain, Incarnation, KeyId, NodeName,
-    RequestId, ResultCode, Revision, RouteName, StoredObject, Time,
+    AccountName, AttemptId, Endpoint, EndpointName, FailureDomain, Incarnation, KeyId, LoadReport,
+    NodeName, RequestId, ResultCode, Revision, RouteName, ServiceName, Time,
 };
 
 /// Random bytes that make each handshake unique.
@@ -91,28 +94,8 @@
 pub struct EndpointLoad {
     /// The endpoint.
     pub endpoint: EndpointName,
-    /// Calls that run.
-    pub running: u32,
-    /// Calls that wait.
-    pub queued: u32,
-    /// Mean time that a call runs.
-    pub mean_service: Duration,
-}
-
-/// Objects changed between two revisions. A transfer of several frames counts only once the last
-/// one is in.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Objects {
-    /// Revision that the receiver must have; zero for a full copy.
-    pub from: Revision,
-    /// Revision that the receiver has afterwards.
-    pub to: Revision,
-    /// Position of this frame in the transfer, from zero.
-    pub index: u32,
-    /// Whether this is the last frame of the transfer.
-    pub last: bool,
-    /// The objects.
-    pub objects: Vec<StoredObject>,
+    /// What its guard reports.
+    pub report: LoadReport,
 }
 
 /// Endpoints of the sender.
@@ -146,7 +129,7 @@
 
 /// Part of a body.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Chunk {
+pub struct BodyPart {
     /// The bytes.
     pub bytes: Vec<u8>,
     /// Whether the body ends here.
@@ -168,14 +151,12 @@
     pub account: Option<(AccountName, KeyId)>,
     /// Latest start, in the receiver's time.
     pub start_by: Time,
-    /// Time left after `start_by` until the answer is of no use to the caller.
-    pub time_to_run: Duration,
     /// Revision by which the entry decided.
     pub revision: Revision,
     /// Head of the request.
     pub head: Head,
     /// First part of the body.
-    pub body: Chunk,
+    pub body: BodyPart,
 }
 
 /// Head of an answer.
@@ -188,7 +169,7 @@
     /// Headers.
     pub headers: Vec<Header>,
     /// First part of the body.
-    pub body: Chunk,
+    pub body: BodyPart,
     /// Load of the endpoint after this call.
     pub load: EndpointLoad,
 }
@@ -202,6 +183,68 @@
     Running,
     /// It ran.
     Ran,
+    /// It may have run; the record is gone or could not be made.
+    Unknown,
+}
+
+/// The message that moves the ownership of a partition.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PartitionHandover {
+    /// The right to grant.
+    pub right: membership::Handover,
+    /// The buckets.
+    pub buckets: limits::Handover,
+}
+
+/// What became of a handover.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HandoverReply {
+    /// The receiver owns the partition, by this or an earlier copy of the message.
+    Taken,
+    /// The receiver does not take it.
+    Refused,
+}
+
+/// A probe that a guard shall make, or has made.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Probe {
+    /// The route on which the endpoint was ejected.
+    pub route: RouteName,
+    /// The endpoint.
+    pub endpoint: EndpointName,
+}
+
+/// Result of a probe.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ProbeReport {
+    /// The probe.
+    pub probe: Probe,
+    /// The result.
+    pub result: ProbeResult,
+}
+
+/// What a node tells the arbiter of a service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HealthUpdate {
+    /// The service.
+    pub service: ServiceName,
+    /// Calls that the sender's endpoints have finished.
+    pub report: Option<HealthReport>,
+    /// Ejections from an earlier arbiter that the sender still holds.
+    pub held: Vec<HeldEjection>,
+    /// Results of probes.
+    pub probed: Vec<ProbeReport>,
+    /// Endpoints of the sender, for which it takes probes.
+    pub endpoints: Vec<EndpointName>,
+}
+
+/// Reply to [`HealthUpdate`].
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HealthReply {
+    /// The ejections of the service; none if the receiver does not arbitrate it.
+    pub list: Option<EjectionList>,
+    /// Probes that the sender's guard shall make.
+    pub probes: Vec<Probe>,
 }
 
 /// A frame between two nodes.
@@ -219,15 +262,12 @@
     Ping(Ping),
     /// Reply to a heartbeat.
     Pong(Pong),
-    /// Asks for the objects changed after a revision, from the given frame of the transfer.
-    Pull {
-        /// Revision that the dialer has.
-        from: Revision,
-        /// Index of the wanted frame.
-        index: u32,
-    },
-    /// Reply to a pull, or a push.
-    Objects(Objects),
+    /// Asks for the objects changed after a revision.
+    Pull(Revision),
+    /// Asks for the next part of the transfer that a pull has started.
+    PullMore,
+    /// A part of a transfer, pulled or pushed.
+    Objects(Transfer),
     /// Asks for the endpoint table.
     PullTable,
     /// Reply to `PullTable`, or a push.
@@ -237,7 +277,7 @@
     /// An attempt.
     Call(Box<Call>),
     /// More of the body of the request.
-    CallBody(Chunk),
+    CallBody(BodyPart),
     /// The attempt did not run.
     Refused {
         /// The attempt.
@@ -261,10 +301,15 @@
         /// The attempt.
         attempt: AttemptId,
         /// The bytes.
-        chunk: Chunk,
+        part: BodyPart,
     },
     /// The attempt must never run; asks what became of it.
-    Fence(AttemptId),
+    Fence {
+        /// The attempt.
+        attempt: AttemptId,
+        /// Its latest start, in the receiver's time.
+        start_by: Time,
+    },
     /// Reply to `Fence`.
     Fenced {
         /// The attempt.
@@ -272,4 +317,16 @@
         /// What became of it.
         status: FenceStatus,
     },
+    /// Requests for tokens, all to the receiver's partitions.
+    TokenRequests(Vec<TokenRequest>),
+    /// Reply to requests for tokens.
+    TokenAnswers(Vec<TokenAnswer>),
+    /// Moves the ownership of a partition, with its buckets.
+    Handover(Box<PartitionHandover>),
+    /// Whether a handover was taken.
+    HandoverReply(HandoverReply),
+    /// Report to the arbiter of a service.
+    HealthUpdate(Box<HealthUpdate>),
+    /// Reply of the arbiter.
+    HealthReply(Box<HealthReply>),
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,18 +6,25 @@
 
 mod encoding;
 mod frame;
+mod health;
+mod tokens;
 
 pub use encoding::{DecodeError, decode, encode};
 pub use frame::{
-    AnswerHead, Call, Chunk, Digest, EndpointLoad, FenceStatus, Frame, Head, Header, Hello, Nonce,
-    Objects, Ping, Pong, Purpose, Table, Welcome,
+    AnswerHead, BodyPart, Call, Digest, EndpointLoad, FenceStatus, Frame, HandoverReply, Head,
+    Header, HealthReply, HealthUpdate, Hello, Nonce, PartitionHandover, Ping, Pong, Probe,
+    ProbeReport, Purpose, Table, Welcome,
 };
 
 /// Version of the protocol. A node refuses a link with another version.
 pub const PROTOCOL_VERSION: u16 = 1;
 
-/// Largest frame, in bytes.
-pub const MAX_FRAME_BYTES: usize = 64 * 1024;
+/// Largest frame, in bytes. A transfer of objects is cut well below it; a handover of all buckets
+/// of a partition is the largest single frame.
+pub const MAX_FRAME_BYTES: usize = 1024 * 1024;
+
+/// Size at which a transfer of objects is cut into frames, in bytes.
+pub const MAX_TRANSFER_BYTES: usize = 48 * 1024;
 
 /// Largest part of a body in one frame, in bytes. Several calls share the processor, so a large
 /// body must not hold it for long.
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,5 +1,6 @@
 //! Developer commands: tests, demo, load and measurements.
 
+mod demo;
 mod measure;
 mod slopes;
 mod test;
@@ -10,6 +11,7 @@
 /// What the developer asked for.
 #[derive(Debug, Clone)]
 enum Command {
+    Demo,
     Test,
     Measure,
     Slopes,
@@ -17,6 +19,7 @@
 
 fn main() -> Result<()> {
     match command().run() {
+        Command::Demo => demo::run(),
         Command::Test => test::run(),
         Command::Measure => measure::run(),
         Command::Slopes => slopes::run(),
@@ -24,6 +27,10 @@
 }
 
 fn command() -> bpaf::OptionParser<Command> {
+    let demo = pure(Command::Demo)
+        .to_options()
+        .command("demo")
+        .help("Start a small fleet, send requests through it and say what happened");
     let test = pure(Command::Test).to_options().command("test").help("Run every test");
     let measure = pure(Command::Measure)
         .to_options()
@@ -33,5 +40,5 @@
         .to_options()
         .command("slopes")
         .help("Measure memory, bytes and processor time per object and per decision");
-    construct!([test, measure, slopes]).to_options().descr("Developer commands of zinniacross")
+    construct!([demo, test, measure, slopes]).to_options().descr("Developer commands of zinniacross")
 }
