--- /dev/null
+++ b/crates/settings/src/values.rs
@@ -0,0 +1,124 @@
+//! Types of single settings.
+
+use std::fmt;
+use std::time::Duration;
+
+/// Shortest accepted secret; shorter ones can be guessed.
+const MIN_SECRET_BYTES: usize = 16;
+
+/// Longest accepted secret, which must fit a header.
+const MAX_SECRET_BYTES: usize = 256;
+
+pub(crate) const SECRET_EXPECTED: &str = "16 to 256 visible ASCII characters without spaces";
+
+/// A secret. `Debug` does not show it, and there is no `Display`.
+///
+/// ```
+/// let secret = settings::Secret::parse("0123456789abcdef").unwrap();
+/// assert_eq!(format!("{secret:?}"), "Secret(..)");
+/// assert_eq!(secret.reveal(), "0123456789abcdef");
+/// assert!(settings::Secret::parse("short").is_none());
+/// ```
+#[derive(Clone, PartialEq, Eq)]
+pub struct Secret(Box<str>);
+
+impl Secret {
+    /// Accepts 16 to 256 visible ASCII characters.
+    pub fn parse(text: &str) -> Option<Secret> {
+        let length = MIN_SECRET_BYTES..=MAX_SECRET_BYTES;
+        let valid = length.contains(&text.len()) && text.bytes().all(|b| b.is_ascii_graphic());
+        valid.then(|| Secret(text.into()))
+    }
+
+    /// The secret itself.
+    pub fn reveal(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Debug for Secret {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Secret(..)")
+    }
+}
+
+/// A number of bytes.
+///
+/// ```
+/// assert_eq!(settings::ByteSize::parse("16KB"), Some(settings::ByteSize(16384)));
+/// assert_eq!(settings::ByteSize::parse("16"), Some(settings::ByteSize(16)));
+/// assert_eq!(settings::ByteSize::parse("16 parsecs"), None);
+/// ```
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ByteSize(pub u64);
+
+impl ByteSize {
+    /// Reads a whole number of bytes with an optional unit: B, KB (1024 bytes), MB or GB.
+    pub fn parse(text: &str) -> Option<ByteSize> {
+        let digits = text.bytes().take_while(u8::is_ascii_digit).count();
+        let (number, unit) = text.split_at(digits);
+        let factor: u64 = match unit.trim() {
+            "" | "B" => 1,
+            "KB" => 1 << 10,
+            "MB" => 1 << 20,
+            "GB" => 1 << 30,
+            _ => return None,
+        };
+        number.parse::<u64>().ok()?.checked_mul(factor).map(ByteSize)
+    }
+}
+
+impl fmt::Display for ByteSize {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}B", self.0)
+    }
+}
+
+/// Lowest level that is logged.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum LogLevel {
+    /// Faults that need an operator.
+    Error,
+    /// Events that may need an operator.
+    Warn,
+    /// Decisions and changes of state.
+    Info,
+    /// Details for developers.
+    Debug,
+    /// Every step.
+    Trace,
+}
+
+impl LogLevel {
+    /// Reads a level by its name in lower case.
+    pub fn parse(text: &str) -> Option<LogLevel> {
+        let levels =
+            [LogLevel::Error, LogLevel::Warn, LogLevel::Info, LogLevel::Debug, LogLevel::Trace];
+        levels.into_iter().find(|level| level.as_str() == text)
+    }
+
+    /// The name of the level, which `log::LevelFilter` parses too.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            LogLevel::Error => "error",
+            LogLevel::Warn => "warn",
+            LogLevel::Info => "info",
+            LogLevel::Debug => "debug",
+            LogLevel::Trace => "trace",
+        }
+    }
+}
+
+/// Reads a whole number with the unit ms, s or m.
+pub(crate) fn parse_duration(text: &str) -> Option<Duration> {
+    let digits = text.bytes().take_while(u8::is_ascii_digit).count();
+    let (number, unit) = text.split_at(digits);
+    let number: u64 = number.parse().ok()?;
+    let millis = match unit.trim() {
+        "ms" => number,
+        "s" => number.checked_mul(1000)?,
+        "m" => number.checked_mul(60_000)?,
+        _ => return None,
+    };
+    Some(Duration::from_millis(millis))
+}
