--- a/crates/model/src/result_code.rs
+++ b/crates/model/src/result_code.rs
@@ -103,6 +103,7 @@
     3009 0 RequestNotRecorded "No reached node has a record of the request.",
     3010 0 PlatformThrottled "The platform refuses calls above its rate.",
     3011 0 WriteOutcomeUnknown "The write may have taken effect; the platform could not be asked.",
+    3012 0 CommandInvalid "The command lacks an option or has one that can't be used.",
     4001 0 SettingUnknown "The settings hold an unknown section or key.",
     4002 0 SettingMissing "A required setting is missing.",
     4003 0 SettingInvalid "A setting has an invalid value.",
--- /dev/null
+++ b/crates/operator/tests/commands.rs
@@ -0,0 +1,535 @@
+//! Tests of the commands against the platform's stand-in and operator ports.
+
+mod common;
+
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use common::standin::{Faults, PlatformConfig, PlatformStandin};
+use common::{CREDENTIAL, View, fleet, platform, platform_with, ran, ran_as, record, store};
+use expect_test::{Expect, expect};
+use model::{Kind, ObjectKey, Revision};
+use platform::{ObjectStore, Precondition, StoreError, fresh_write_id};
+
+fn check(ran: common::Ran, expect: Expect) {
+    expect.assert_eq(&ran.text());
+}
+
+/// Guards against a change of what people and programs read.
+#[test]
+fn objects_from_creation_to_deletion() {
+    let platform = platform();
+    let run = |args: &str| ran(Some(&platform), &[], args);
+    check(
+        run("account create big --rate 5/s --burst 10"),
+        expect![[r#"
+        account/big accepted at revision 1
+        exit 0
+    "#]],
+    );
+    check(
+        run("account create big --rate 6/s --burst 10"),
+        expect![[r#"
+        error: 3003 The object exists already. (account/big)
+        the other write is WRITE at revision 1: {"rate":"5/s","burst":10}
+        exit 2
+    "#]],
+    );
+    check(
+        run("account set big --rate 7/s --json"),
+        expect![[r#"
+        {"key":"account/big","result":"accepted","revision":2}
+        exit 0
+    "#]],
+    );
+    check(
+        run("account set big"),
+        expect![[r#"
+        error: 3012 The command lacks an option or has one that can't be used. (no field to change is given)
+        exit 1
+    "#]],
+    );
+    check(
+        run("account list"),
+        expect![[r#"
+        NAME  RATE  BURST  REVISION
+        big   7/s   10     2
+        exit 0
+    "#]],
+    );
+    check(
+        run("route create orders --prefix /orders --service orders"),
+        expect![[r#"
+        route/orders accepted at revision 3
+        exit 0
+    "#]],
+    );
+    check(
+        run("route set orders --selector tier=gold --idempotent GET,PUT"),
+        expect![[r#"
+        route/orders accepted at revision 4
+        exit 0
+    "#]],
+    );
+    check(
+        run("route create bad --prefix orders --service orders"),
+        expect![[r#"
+        error: 3004 The object is not valid. (invalid object: the prefix of a route must start with '/')
+        exit 2
+    "#]],
+    );
+    check(
+        run("route list"),
+        expect![[r#"
+        NAME    PREFIX   SERVICE  SELECTOR   ACCESS  TIMEOUT   FLOOR  REVISION
+        orders  /orders  orders   tier=gold  keyed   30000 ms  70%    4
+        exit 0
+    "#]],
+    );
+    check(
+        run("route show orders"),
+        expect![[r#"
+        FIELD              VALUE
+        kind               route
+        name               orders
+        revision           4
+        spec.access        keyed
+        spec.floor         70
+        spec.idempotent    ["GET","PUT"]
+        spec.prefix        /orders
+        spec.retry_budget  20
+        spec.selector      tier=gold
+        spec.service       orders
+        spec.timeout_ms    30000
+        write_id           WRITE
+        exit 0
+    "#]],
+    );
+    check(
+        run("endpoint label set orders-1 tier=gold track=canary"),
+        expect![[r#"
+        endpoint-mark/orders-1 accepted at revision 5
+        exit 0
+    "#]],
+    );
+    check(
+        run("endpoint drain orders-1"),
+        expect![[r#"
+        endpoint-mark/orders-1 accepted at revision 6
+        exit 0
+    "#]],
+    );
+    check(
+        run("endpoint drain orders-1"),
+        expect![[r#"
+        endpoint-mark/orders-1 unchanged at revision 6
+        exit 0
+    "#]],
+    );
+    check(
+        run("endpoint label remove orders-1 tier track"),
+        expect![[r#"
+        endpoint-mark/orders-1 accepted at revision 7
+        exit 0
+    "#]],
+    );
+    check(
+        run("endpoint undrain orders-1 --json"),
+        expect![[r#"
+        {"key":"endpoint-mark/orders-1","result":"accepted","revision":8}
+        exit 0
+    "#]],
+    );
+    let mark = store(&platform).read(&ObjectKey::new(Kind::EndpointMark, "orders-1")).unwrap();
+    assert!(mark.unwrap().object.is_none(), "a mark that says nothing is deleted");
+    check(
+        run("route delete orders --json"),
+        expect![[r#"
+        {"key":"route/orders","result":"accepted","revision":9}
+        exit 0
+    "#]],
+    );
+    check(
+        run("route show orders"),
+        expect![[r#"
+        error: 3002 The object does not exist. (route/orders)
+        exit 2
+    "#]],
+    );
+}
+
+/// Guards against a key that can't be used, is shown again, or is stored as it is.
+#[test]
+fn keys_are_shown_once() {
+    let platform = platform();
+    let run = |args: &str| ran(Some(&platform), &[], args);
+    check(
+        run("key issue big"),
+        expect![[r#"
+        error: 3002 The object does not exist. (account/big)
+        exit 2
+    "#]],
+    );
+    run("account create big --rate 5/s --burst 10");
+    let issued = run("key issue big");
+    let keys = model::CallerKey::find_all(&issued.out);
+    let [key] = &keys[..] else { panic!("one key in {:?}", issued.out) };
+    let listing = store(&platform).list().unwrap();
+    let stored = listing.objects.iter().find(|stored| stored.key.kind == Kind::Key).unwrap();
+    let Some(model::Object::Key(object)) = &stored.object else { panic!("{stored:?}") };
+    assert!(object.digest.matches(key));
+    let secret = key.reveal();
+    for args in ["key list", "key list --account big --json", "key show ID", "key withdraw ID"] {
+        let ran = run(&args.replace("ID", key.id().as_str()));
+        assert_eq!(ran.exit, 0, "{}", ran.err);
+        assert!(!ran.text().contains(&secret) && !ran.text().contains(&secret[20..]));
+    }
+    assert_eq!(run(&format!("key withdraw {}", key.id())).exit, 2);
+    let json = run("key issue big --json");
+    assert_eq!(model::CallerKey::find_all(&json.out).len(), 1);
+}
+
+/// Guards against a change that replaces what another operator wrote.
+#[test]
+fn two_operators() {
+    let platform = platform();
+    let run = |args: &str| ran(Some(&platform), &[], args);
+    run("account create big --rate 5/s --burst 10");
+    run("account set big --rate 6/s");
+    check(
+        run("account set big --rate 7/s --if-revision 1"),
+        expect![[r#"
+        error: 3001 Another operator changed the object first. (account/big)
+        the other write is WRITE at revision 2: {"rate":"6/s","burst":10}
+        exit 3
+    "#]],
+    );
+    check(
+        run("account delete big --if-revision 1 --json"),
+        expect![[r#"
+        {"error":{"code":3001,"current":{"kind":"account","name":"big","revision":2,"spec":{"burst":10,"rate":"6/s"},"write_id":"WRITE"},"detail":"account/big","text":"Another operator changed the object first."}}
+        exit 3
+    "#]],
+    );
+    assert_eq!(run("account set big --rate 7/s --if-revision 2").exit, 0);
+
+    // The delay makes the operators read the same revision before the first one writes.
+    platform.set_faults(Faults { slow_ms: 100, ..Faults::default() });
+    let ran: Vec<_> = thread::scope(|scope| {
+        let operators: Vec<_> = (1..=4)
+            .map(|burst| {
+                scope
+                    .spawn(move || run(&format!("account set big --burst {burst} --if-revision 3")))
+            })
+            .collect();
+        operators.into_iter().map(|operator| operator.join().unwrap()).collect()
+    });
+    let winners: Vec<_> = ran.iter().filter(|ran| ran.exit == 0).collect();
+    let losers: Vec<_> = ran.iter().filter(|ran| ran.exit == 3).collect();
+    assert_eq!((winners.len(), losers.len()), (1, 3));
+    let winner = winners[0].out.trim();
+    let current = store(&platform).read(&ObjectKey::new(Kind::Account, "big")).unwrap().unwrap();
+    for loser in losers {
+        assert!(loser.err.contains("error: 3001") && loser.err.contains("at revision 4: {"));
+        assert!(winner.ends_with("at revision 4"), "{winner}");
+    }
+    assert_eq!(current.revision, Revision(4));
+    assert!(platform.counts().writes <= 3 + 4, "an operator has repeated its write");
+}
+
+/// Guards against a change that is made twice, or reported as failed, after a lost answer.
+#[test]
+fn lost_answers_are_resolved() {
+    let platform = platform();
+    let run = |args: &str| ran(Some(&platform), &[], args);
+    platform.set_faults(Faults { lose_answers: 1, ..Faults::default() });
+    check(
+        run("account create big --rate 5/s --burst 10"),
+        expect![[r#"
+        account/big accepted at revision 1
+        exit 0
+    "#]],
+    );
+    platform.set_faults(Faults { lose_answers: 1, ..Faults::default() });
+    check(
+        run("account delete big"),
+        expect![[r#"
+        account/big accepted at revision 2
+        exit 0
+    "#]],
+    );
+    assert_eq!(platform.counts().writes, 2);
+
+    // The platform goes down between the write and the question about it.
+    platform.set_faults(Faults { lose_answers: 1, slow_ms: 80, ..Faults::default() });
+    let unknown = thread::scope(|scope| {
+        let unknown = scope.spawn(|| run("account create new --rate 5/s --burst 10"));
+        while platform.counts().writes < 3 {
+            thread::sleep(Duration::from_millis(1));
+        }
+        platform.set_faults(Faults { down: true, lose_answers: 1, ..Faults::default() });
+        unknown.join().unwrap()
+    });
+    check(
+        unknown,
+        expect![[r#"
+        error: 3011 The write may have taken effect; the platform could not be asked. (account/new, write WRITE: the answer of the write was lost: status 504)
+        exit 5
+    "#]],
+    );
+}
+
+/// Guards against errors without a code while the platform is down, slow or refuses the rate.
+#[test]
+fn outage_and_throttling() {
+    let throttled =
+        platform_with(PlatformConfig { writes_per_second: 0, ..PlatformConfig::default() });
+    let mut platform = platform();
+    fn run(platform: &PlatformStandin, args: &str) -> common::Ran {
+        ran(Some(platform), &[], args)
+    }
+    run(&platform, "account create one --rate 5/s --burst 10");
+    check(
+        run(&throttled, "account create two --rate 5/s --burst 10"),
+        expect![[r#"
+        error: 3010 The platform refuses calls above its rate. (the platform refuses calls above its rate)
+        exit 4
+    "#]],
+    );
+    platform.set_faults(Faults { down: true, ..Faults::default() });
+    check(
+        run(&platform, "account list --json"),
+        expect![[r#"
+        {"error":{"code":3005,"detail":"the platform is unavailable: status 503 unavailable","text":"The platform can't be reached."}}
+        exit 4
+    "#]],
+    );
+    check(
+        run(&platform, "account set one --rate 1/s"),
+        expect![[r#"
+        error: 3005 The platform can't be reached. (the platform is unavailable: status 503 unavailable)
+        exit 4
+    "#]],
+    );
+    platform.set_faults(Faults { slow_ms: 1500, ..Faults::default() });
+    let slow = run(&platform, "account show one");
+    assert!(slow.err.starts_with("error: 3005") && slow.exit == 4, "{}", slow.text());
+    platform.stop();
+    let gone = run(&platform, "account show one");
+    assert!(gone.err.starts_with("error: 3005") && gone.exit == 4, "{}", gone.text());
+    check(
+        ran(None, &[], "account list"),
+        expect![[r#"
+        error: 3012 The command lacks an option or has one that can't be used. (give --platform or set ZINNIACROSS_PLATFORM)
+        exit 1
+    "#]],
+    );
+}
+
+/// Guards against a store that does not see changes, deletions, or its own loss of history.
+#[test]
+fn watches_through_the_client() {
+    let platform = platform_with(PlatformConfig { tombstones: 1, ..PlatformConfig::default() });
+    let run = |args: &str| ran(Some(&platform), &[], args);
+    let store = store(&platform);
+    run("account create a --rate 5/s --burst 10");
+    run("account create b --rate 5/s --burst 10");
+    let listing = store.list().unwrap();
+    assert_eq!((listing.revision, listing.objects.len()), (Revision(2), 2));
+    let changes = thread::scope(|scope| {
+        let watch = scope.spawn(|| store.watch(Revision(2), Duration::from_secs(10)));
+        while platform.counts().watches == 0 {
+            thread::sleep(Duration::from_millis(1));
+        }
+        run("account delete a");
+        watch.join().unwrap().unwrap()
+    });
+    assert_eq!(changes.revision, Revision(3));
+    assert!(changes.objects[0].object.is_none());
+    let none = store.watch(Revision(3), Duration::from_millis(30)).unwrap();
+    assert_eq!((none.revision, none.objects.len()), (Revision(3), 0));
+    run("account delete b");
+    assert_eq!(store.watch(Revision(2), Duration::ZERO), Err(StoreError::ListNeeded));
+    assert_eq!(store.watch(Revision(3), Duration::ZERO).unwrap().objects.len(), 1);
+    let unconditional = store.write(
+        &ObjectKey::new(Kind::Account, "b"),
+        Precondition::At(Revision(2)),
+        None,
+        &fresh_write_id(),
+    );
+    assert_eq!(unconditional, Err(StoreError::Conflict { current: None }));
+}
+
+/// Guards against "in force" while a member has not applied the change, and against a wait that
+/// never hands the change on to nodes without the platform.
+#[test]
+fn confirmation() {
+    let platform = platform();
+    let mut stuck = View::new("node-3");
+    stuck.accepts_push = false;
+    let views = [Arc::new(View::new("node-1")), Arc::new(View::new("node-2")), Arc::new(stuck)];
+    let ports = fleet(&views);
+    let run = |args: &str| ran(Some(&platform), &[&ports[0]], args);
+    check(
+        run("account create a --rate 5/s --burst 10 --wait"),
+        expect![[r#"
+        account/a accepted at revision 1
+        3006 The change is accepted, but nodes have not confirmed it.
+        NOT CONFIRMED BY
+        node-3
+        no majority is known to have applied the change for 3 s
+        exit 6
+    "#]],
+    );
+    let pushed = |index: usize| {
+        let pushes = views[index].pushes.lock().unwrap();
+        pushes.iter().map(|push| push.objects.len()).collect::<Vec<_>>()
+    };
+    assert_eq!((pushed(0), pushed(1), pushed(2)), (vec![1], vec![1], vec![]));
+    check(
+        run("account delete a --wait --json"),
+        expect![[r#"
+        {"code":3006,"confirmed":["node-1","node-2"],"key":"account/a","result":"not confirmed","revision":2,"unconfirmed":["node-3"],"unconfirmed_serve_keyed_calls":true}
+        exit 6
+    "#]],
+    );
+    *views[2].revision.lock().unwrap() = Revision(1000);
+    check(
+        run("account create b --rate 5/s --burst 10 --wait"),
+        expect![[r#"
+        account/b accepted at revision 3
+        in force on 3 nodes
+        exit 0
+    "#]],
+    );
+    check(
+        run("account delete b --wait --json"),
+        expect![[r#"
+        {"confirmed":["node-1","node-2","node-3"],"key":"account/b","result":"in force","revision":4,"unconfirmed":[]}
+        exit 0
+    "#]],
+    );
+}
+
+/// Guards against calling nodes harmless that may still hold a lease: the claim needs a majority
+/// that has applied the change for the validity of a lease, 3 s.
+#[test]
+fn nodes_without_a_lease() {
+    let platform = platform();
+    let views = ["node-1", "node-2", "node-3"].map(|name| Arc::new(View::new(name)));
+    let mut ports = fleet(&views);
+    let stopped = ports.remove(2);
+    drop(stopped);
+    let within = Duration::from_millis(4800);
+    let args = "account create a --rate 5/s --burst 10 --wait";
+    let ran = common::ran_within(within, Some(&platform), &[&ports[0]], args, Some(CREDENTIAL));
+    check(ran, expect![[r#"
+        account/a accepted at revision 1
+        3006 The change is accepted, but nodes have not confirmed it.
+        NOT CONFIRMED BY
+        node-3
+        a majority has applied the change; these nodes serve no keyed calls
+        exit 6
+    "#]]);
+}
+
+/// Guards against an accepted change that is reported as refused because no node answers.
+#[test]
+fn nodes_that_can_not_be_asked() {
+    let platform = platform();
+    let views = [Arc::new(View::new("node-1"))];
+    let ports = fleet(&views);
+    let create = "account create NAME --rate 5/s --burst 10 --wait --json";
+    let node = Some(&platform);
+    let wrong = Some("wrong-horse-battery");
+    let mask = |ran: common::Ran| ran.text().replace(&ports[0].addr().to_string(), "ADDR");
+    let args = |name: &str| create.replace("NAME", name);
+    let refused = mask(ran_as(node, &[&ports[0]], &args("a"), wrong));
+    expect![[r#"
+        {"cause":{"code":3008,"detail":"ADDR","text":"The operator credential was refused."},"code":3006,"key":"account/a","result":"not confirmed","revision":1}
+        exit 6
+    "#]].assert_eq(&refused);
+    expect![[r#"
+        {"cause":{"code":3012,"detail":"give --credential-file or set ZINNIACROSS_CREDENTIAL","text":"The command lacks an option or has one that can't be used."},"code":3006,"key":"account/b","result":"not confirmed","revision":2}
+        exit 6
+    "#]].assert_eq(&mask(ran_as(node, &[&ports[0]], &args("b"), None)));
+    expect![[r#"
+        {"cause":{"code":3007,"detail":"no node answered","text":"No node could be reached."},"code":3006,"key":"account/c","result":"not confirmed","revision":3}
+        exit 6
+    "#]].assert_eq(&mask(ran(node, &[], &args("c"))));
+    expect![[r#"
+        error: 3008 The operator credential was refused. (ADDR)
+        exit 7
+    "#]]
+    .assert_eq(&mask(ran_as(None, &[&ports[0]], "fleet state", wrong)));
+}
+
+/// Guards against a fleet view or an explanation that people can't read or that changes the
+/// terminal, and against records of other nodes that are left out.
+#[test]
+fn fleet_views() {
+    let mut second = View::new("node-2");
+    second.record = Some(record("node-2"));
+    let views = [Arc::new(View::new("node-1")), Arc::new(second)];
+    let ports = fleet(&views);
+    let run = |args: &str| {
+        let text = ran(None, &[&ports[0]], args).text();
+        let text = text.replace(&ports[0].addr().to_string(), "ADDR-1");
+        text.replace(&ports[1].addr().to_string(), "ADDR-2")
+    };
+    expect![[r#"
+        seen by node-1 in mid-a: revision 0, synced, lease 2900 ms, platform never
+
+        MEMBER  DOMAIN  LIVENESS  REVISION  SYNCED  ROLE   OPERATOR PORT
+        node-1  mid-a   alive     0         yes     relay  ADDR-1
+        node-2  mid-a   unknown   -         no      -      ADDR-2
+
+        PARTITION  OWNER   EPOCH  LIVENESS
+        3          node-1  2      alive
+
+        NAME      SERVICE  NODE    STATE  LOAD  RUNNING  QUEUED  LABELS     WEIGHTS
+        orders-1  orders   node-1  ready  40%   1/3      0       tier=gold  orders:0.25
+        exit 0
+    "#]]
+    .assert_eq(&run("fleet state"));
+    expect![[r#"
+        NAME      SERVICE  NODE    STATE  LOAD  RUNNING  QUEUED  LABELS     WEIGHTS
+        orders-1  orders   node-1  ready  40%   1/3      0       tier=gold  orders:0.25
+        exit 0
+    "#]]
+    .assert_eq(&run("endpoint list --service orders"));
+    expect![[r#"
+        error: 3002 The object does not exist. (endpoint orders-2, as seen by node node-1)
+        exit 2
+    "#]]
+    .assert_eq(&run("endpoint show orders-2"));
+    expect![[r#"
+        request req-1 on node-2: route orders, account -, status 503, 1008 No healthy upstream matches the route.
+        AT MS  STEP    DETAIL
+        1.500  select  no?[31m upstream
+        exit 0
+    "#]].assert_eq(&run("explain req-1"));
+    expect![[r#"
+        {"records":[{"account":null,"code":1008,"decisions":[{"at_us":1500,"detail":"no\u001b[31m upstream","step":"select"}],"id":"req-1","node":"node-2","route":"orders","status":503}]}
+        exit 0
+    "#]].assert_eq(&run("explain req-1 --json"));
+    expect![[r#"
+        error: 3009 No reached node has a record of the request. (request req-2; 2 of 2 nodes answered)
+        exit 2
+    "#]].assert_eq(&run("explain req-2"));
+    check(
+        ran(None, &[], "check-settings good.ini"),
+        expect![[r#"
+        the settings are valid
+        exit 0
+    "#]],
+    );
+    check(
+        ran(None, &[], "check-settings bad.ini --json"),
+        expect![[r#"
+        {"file":"bad.ini","mistakes":[{"code":4003,"key":"name","line":3,"section":"node","text":"bad.ini:3: [node] name: 4003 A setting has an invalid value."}]}
+        exit 8
+    "#]],
+    );
+}
--- /dev/null
+++ b/crates/operator/tests/port.rs
@@ -0,0 +1,181 @@
+//! Tests of the operator port over HTTP.
+
+mod common;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use common::{CREDENTIAL, View, record, start};
+use expect_test::{Expect, expect};
+use model::ResultCode;
+use operator::OperatorPort;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use ureq::Agent;
+
+fn agent() -> Agent {
+    let timeout = Some(Duration::from_secs(5));
+    Agent::config_builder().http_status_as_error(false).timeout_global(timeout).build().new_agent()
+}
+
+fn get(port: &OperatorPort, path: &str, credential: &str) -> String {
+    let req = agent().get(format!("http://{}{path}", port.addr()));
+    let req = if credential.is_empty() { req } else { req.header("authorization", credential) };
+    let mut answer = req.call().unwrap();
+    format!("{} {}", answer.status().as_u16(), answer.body_mut().read_to_string().unwrap())
+}
+
+fn post(port: &OperatorPort, path: &str, body: &[u8]) -> String {
+    let req = agent().post(format!("http://{}{path}", port.addr()));
+    let mut answer =
+        req.header("authorization", format!("Bearer {CREDENTIAL}")).send(body).unwrap();
+    format!("{} {}", answer.status().as_u16(), answer.body_mut().read_to_string().unwrap())
+}
+
+fn check(actual: String, expect: Expect) {
+    expect.assert_eq(&actual);
+}
+
+/// Guards against calls that get through without the whole credential, and against a health
+/// check that needs one.
+#[test]
+fn credential_is_needed() {
+    let view = Arc::new(View::new("node-1"));
+    let port = start(&view);
+    let longer = format!("Bearer {CREDENTIAL}x");
+    let shorter = format!("Bearer {}", &CREDENTIAL[1..]);
+    for path in ["/state", "/metrics", "/requests/req-1", "/push", "/drain", "/none"] {
+        for credential in ["", "Bearer ", CREDENTIAL, "Basic x", &longer, &shorter] {
+            let refused = get(&port, path, credential);
+            assert!(refused.starts_with("401 {\"code\":3008"), "{path} {credential}: {refused}");
+        }
+    }
+    let mut answer = agent().post(format!("http://{}/drain", port.addr())).send_empty().unwrap();
+    assert_eq!(answer.status().as_u16(), 401);
+    assert!(!answer.body_mut().read_to_string().unwrap().contains(CREDENTIAL));
+    assert_eq!(*view.drains.lock().unwrap(), 0);
+    check(get(&port, "/health", ""), expect![[r#"200 {"health":"running"}"#]]);
+    check(get(&port, "/ready", ""), expect![[r#"200 {"ready":true}"#]]);
+    *view.ready.lock().unwrap() = Err(ResultCode::NotSynced);
+    check(
+        get(&port, "/ready", ""),
+        expect![[r#"503 {"code":1012,"text":"This node has no confirmed configuration yet."}"#]],
+    );
+}
+
+/// Guards against a change of the documents that programs of operators read.
+#[test]
+fn documents() {
+    let mut view = View::new("node-1");
+    view.record = Some(record("node-1"));
+    let view = Arc::new(view);
+    let port = start(&view);
+    let credential = format!("Bearer {CREDENTIAL}");
+    check(
+        get(&port, "/metrics", &credential),
+        expect![[r#"
+        200 # HELP calls Calls.
+        # TYPE calls counter
+        calls_total 1
+        # EOF
+    "#]],
+    );
+    check(
+        get(&port, "/state", &credential),
+        expect![[
+            r#"200 {"node":"node-1","domain":"mid-a","incarnation":7,"revision":0,"synced":true,"lease_ms":2900,"platform_age_ms":null,"members":[],"partitions":[{"id":3,"owner":"node-1","epoch":2,"owner_liveness":"alive"}],"endpoints":[{"name":"orders-1","service":"orders","node":"node-1","labels":{"tier":"gold"},"state":"ready","drained":false,"load":40,"slots":3,"running":1,"queued":0,"weights":[{"route":"orders","weight_milli":250,"ejected":false}]}]}"#
+        ]],
+    );
+    check(
+        get(&port, "/requests/req-1", &credential),
+        expect![[
+            r#"200 {"id":"req-1","node":"node-1","route":"orders","account":null,"status":503,"code":1008,"decisions":[{"at_us":1500,"step":"select","detail":"no\u001b[31m upstream"}]}"#
+        ]],
+    );
+    check(
+        get(&port, "/requests/req-2", &credential),
+        expect![[r#"404 {"code":3009,"text":"No reached node has a record of the request."}"#]],
+    );
+    check(
+        get(&port, "/requests/%20", &credential),
+        expect![[r#"404 {"code":3009,"text":"No reached node has a record of the request."}"#]],
+    );
+    check(get(&port, "/none", &credential), expect![[r#"404 {"text":"No such call."}"#]]);
+    check(post(&port, "/drain", b""), expect![[r#"202 {"drain":"started"}"#]]);
+    assert_eq!(*view.drains.lock().unwrap(), 1);
+}
+
+/// Guards against a push that reaches the node unread, outside of its revisions, or too large.
+#[test]
+fn pushes_are_checked() {
+    let view = Arc::new(View::new("node-1"));
+    let port = start(&view);
+    let account = |revision: u64, spec: &str| {
+        format!(
+            r#"{{"since":0,"revision":5,"objects":[{{"kind":"account","name":"a","revision":{revision},"write_id":"w","spec":{spec}}}]}}"#
+        )
+    };
+    let spec = r#"{"rate":"1/s","burst":1}"#;
+    check(
+        post(&port, "/push", account(6, spec).as_bytes()),
+        expect![[
+            r#"400 {"code":3004,"detail":"invalid push: account/a is outside of the revisions","text":"The object is not valid."}"#
+        ]],
+    );
+    check(
+        post(&port, "/push", account(0, spec).as_bytes()),
+        expect![[
+            r#"400 {"code":3004,"detail":"invalid push: account/a is outside of the revisions","text":"The object is not valid."}"#
+        ]],
+    );
+    check(
+        post(&port, "/push", account(4, r#"{"rate":"1/s"}"#).as_bytes()),
+        expect![[
+            r#"400 {"code":3004,"detail":"invalid push: invalid object: missing field `burst` at line 1 column 14","text":"The object is not valid."}"#
+        ]],
+    );
+    check(
+        post(&port, "/push", br#"{"since":9,"revision":9,"objects":[]}"#),
+        expect![[r#"409 {"code":1012,"text":"This node has no confirmed configuration yet."}"#]],
+    );
+    check(
+        post(&port, "/push", &vec![b' '; 9 << 20]),
+        expect![[r#"413 {"code":1016,"text":"The body of the request is too large."}"#]],
+    );
+    assert!(view.pushes.lock().unwrap().is_empty());
+    check(post(&port, "/push", account(5, spec).as_bytes()), expect![[r#"200 {"revision":5}"#]]);
+    check(post(&port, "/push", account(5, "null").as_bytes()), expect![[r#"200 {"revision":5}"#]]);
+    assert_eq!(view.pushes.lock().unwrap().len(), 2);
+}
+
+/// Guards against a port that stays open after its stop.
+#[test]
+fn stop_closes_the_port() {
+    let mut port = start(&Arc::new(View::new("node-1")));
+    let url = format!("http://{}/health", port.addr());
+    port.stop();
+    assert!(agent().get(url).call().is_err());
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 64,
+        rng_seed: RngSeed::Fixed(0x9057),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against a panic, which rouille turns into status 500, on arbitrary pushes.
+    #[test]
+    fn arbitrary_pushes_never_panic(bodies in proptest::collection::vec(prop_oneof![
+        proptest::collection::vec(any::<u8>(), 0..100),
+        r#"\{"since":(null|[0-9]{1,21}|-1),"revision":[0-9]{1,2},"objects":\[(\{"kind":"(route|key|node)","name":"[a-z/]{0,3}","revision":[0-9],"write_id":"[a-z ]?","spec":(null|[0-9]|\{\})\})?\]\}"#
+            .prop_map(String::into_bytes),
+    ], 1..4)) {
+        let port = start(&Arc::new(View::new("node-1")));
+        for body in bodies {
+            let answer = post(&port, "/push", &body);
+            prop_assert!(["200", "400", "409"].contains(&&answer[..3]), "{answer}");
+        }
+    }
+}
