--- a/crates/operator/tests/commands.rs
+++ b/crates/operator/tests/commands.rs
@@ -424,14 +424,17 @@
     let within = Duration::from_millis(4800);
     let args = "account create a --rate 5/s --burst 10 --wait";
     let ran = common::ran_within(within, Some(&platform), &[&ports[0]], args, Some(CREDENTIAL));
-    check(ran, expect![[r#"
+    check(
+        ran,
+        expect![[r#"
         account/a accepted at revision 1
         3006 The change is accepted, but nodes have not confirmed it.
         NOT CONFIRMED BY
         node-3
         a majority has applied the change; these nodes serve no keyed calls
         exit 6
-    "#]]);
+    "#]],
+    );
 }
 
 /// Guards against an accepted change that is reported as refused because no node answers.
