Test the guard and the retry policy against lost, doubled and late messages

attempts.rs runs the retry policy and two guards in virtual time. Messages are lost, doubled, delayed and reordered; entry and guards are paused at any step; a guard is replaced by a new process while the old one is paused and goes on later. It checks that a non-idempotent request starts at most once and that what is reported as not run never started, then or later. guard.rs checks single rules against random sequences of events; calls.rs and balancer.rs check the budget, the guard clock and the choice.

Ruled out: a fence in the test that carries another start-by than its attempt. It made the guard forget the fence too early, but an entry has one start-by for each attempt, and the fence takes the same.

--- /dev/null
+++ b/crates/admission/tests/attempts.rs
@@ -0,0 +1,408 @@
+//! An entry and two guards whose messages are lost, doubled, delayed and reordered, and whose
+//! processes are paused and replaced. Guards against a request that runs twice (P8) and against a
+//! "not run" that is wrong, then or later (P7).
+
+// The retry policy is included by path because `routing` is not a dependency of this crate.
+#[allow(dead_code)]
+#[path = "../../routing/src/budget.rs"]
+mod budget;
+#[allow(dead_code)]
+#[path = "../../routing/src/retry.rs"]
+mod retry;
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+use std::time::Duration;
+
+use admission::{Attempt, Check, Decision, FenceAnswer, Guard, GuardLimits, Verdict};
+use model::{
+    AttemptId, EndpointName, EndpointState, Incarnation, Percent, ResultCode, Slots, Time,
+};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+use crate::budget::RetryBudget;
+use crate::retry::{
+    AttemptEnd, Body, CallAttempts, CallKind, FenceResult, Idempotence, Next, refusal_evidence,
+};
+
+const SLOTS: Slots = Slots(2);
+const CALL_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// What the network does with one message.
+#[derive(Debug, Clone)]
+enum Fate {
+    Lost,
+    Delivered(u64),
+    Doubled(u64, u64),
+}
+
+#[derive(Debug, Clone)]
+enum Fault {
+    PauseEntry(u64),
+    PauseGuard(usize, u64),
+    /// The node gets a new process; the old one is paused and then goes on.
+    Restart(usize, u64),
+}
+
+#[derive(Debug, Clone, Copy)]
+enum Event {
+    NewCall(usize),
+    Call { process: usize, call: usize, id: AttemptId, start_by: Time },
+    Fence { process: usize, call: usize, id: AttemptId, start_by: Time },
+    Run { process: usize, call: usize, id: AttemptId },
+    Done { process: usize, call: usize, id: AttemptId },
+    Tick { process: usize },
+    Refused { process: usize, call: usize, id: AttemptId, code: ResultCode },
+    Answer { call: usize, id: AttemptId },
+    Fenced { process: usize, call: usize, id: AttemptId, answer: FenceAnswer },
+    LinkLost { call: usize, id: AttemptId },
+    FenceTimeout { call: usize, id: AttemptId },
+    Fault(usize),
+}
+
+impl Event {
+    /// The process that handles the event, or `None` for the entry.
+    fn process(&self) -> Option<usize> {
+        match *self {
+            Event::Call { process, .. } | Event::Fence { process, .. } => Some(process),
+            Event::Run { process, .. } | Event::Done { process, .. } => Some(process),
+            Event::Tick { process } => Some(process),
+            _ => None,
+        }
+    }
+}
+
+struct Process {
+    guard: Guard,
+    paused_until: u64,
+    calls: HashMap<AttemptId, (usize, Time)>,
+}
+
+#[derive(PartialEq)]
+enum Phase {
+    Waiting,
+    Fencing,
+}
+
+struct Call {
+    attempts: CallAttempts,
+    idempotence: Idempotence,
+    deadline: Time,
+    /// Current attempt, the process that it was handed to, and its start-by.
+    current: Option<(AttemptId, usize, Time, Phase)>,
+    outcome: Option<Next>,
+    starts: u32,
+}
+
+struct World {
+    now: u64,
+    order: u64,
+    events: BinaryHeap<Reverse<(u64, u64, usize)>>,
+    bodies: Vec<Event>,
+    fates: Vec<Fate>,
+    sent: usize,
+    faults: Vec<(u64, Fault)>,
+    processes: Vec<Process>,
+    /// Newest process of each of the two nodes.
+    newest: [usize; 2],
+    entry_paused_until: u64,
+    calls: Vec<Call>,
+    budget: RetryBudget,
+    sequence: u64,
+}
+
+fn ms(now: u64) -> Time {
+    Time::from_micros(now * 1000)
+}
+
+fn endpoint() -> EndpointName {
+    "orders-1".parse().unwrap()
+}
+
+impl World {
+    fn new(fates: Vec<Fate>, faults: Vec<(u64, Fault)>, calls: &[(u64, Idempotence)]) -> World {
+        let mut world = World {
+            now: 0,
+            order: 0,
+            events: BinaryHeap::new(),
+            bodies: Vec::new(),
+            fates,
+            sent: 0,
+            faults,
+            processes: Vec::new(),
+            newest: [0, 1],
+            entry_paused_until: 0,
+            calls: Vec::new(),
+            budget: RetryBudget::new(Percent::new(100).unwrap()),
+            sequence: 0,
+        };
+        world.start_process();
+        world.start_process();
+        for (index, &(at, idempotence)) in calls.iter().enumerate() {
+            let deadline = ms(at) + CALL_TIMEOUT;
+            let attempts = CallAttempts::new(CallKind { idempotence, deadline });
+            let (current, outcome) = (None, None);
+            let call = Call { attempts, idempotence, deadline, current, outcome, starts: 0 };
+            world.calls.push(call);
+            world.at(at, Event::NewCall(index));
+        }
+        for index in 0..world.faults.len() {
+            world.at(world.faults[index].0, Event::Fault(index));
+        }
+        world
+    }
+
+    fn start_process(&mut self) -> usize {
+        let mut guard = Guard::new(GuardLimits::default());
+        let state = EndpointState::Ready;
+        guard.announce(&endpoint(), SLOTS, state, ms(self.now), &|_: &Attempt| Check::Allowed);
+        self.processes.push(Process { guard, paused_until: 0, calls: HashMap::new() });
+        let process = self.processes.len() - 1;
+        self.at(self.now + 50, Event::Tick { process });
+        process
+    }
+
+    fn at(&mut self, time: u64, event: Event) {
+        self.bodies.push(event);
+        self.order += 1;
+        self.events.push(Reverse((time, self.order, self.bodies.len() - 1)));
+    }
+
+    fn send(&mut self, event: Event) {
+        let fate = self.fates[self.sent % self.fates.len()].clone();
+        self.sent += 1;
+        match fate {
+            Fate::Lost => {}
+            Fate::Delivered(delay) => self.at(self.now + delay, event),
+            Fate::Doubled(first, second) => {
+                self.at(self.now + first, event);
+                self.at(self.now + second, event);
+            }
+        }
+    }
+
+    /// Runs until every message has arrived and every pause is over.
+    fn run(&mut self) {
+        while let Some(Reverse((time, _, body))) = self.events.pop() {
+            self.now = time;
+            let event = self.bodies[body];
+            let paused_until = match event.process() {
+                Some(process) => self.processes[process].paused_until,
+                None if matches!(event, Event::Fault(_)) => 0,
+                None => self.entry_paused_until,
+            };
+            match paused_until > time {
+                true => self.at(paused_until, event),
+                false => self.handle(event),
+            }
+            for process in &self.processes {
+                let load = process.guard.load(&endpoint()).unwrap();
+                assert!(load.running <= SLOTS.0, "more calls run than there are slots");
+            }
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        let allow = |_: &Attempt| Check::Allowed;
+        let now = ms(self.now);
+        match event {
+            Event::NewCall(call) => self.attempt(call),
+            Event::Call { process, call, id, start_by } => {
+                let target = &mut self.processes[process];
+                target.calls.insert(id, (call, start_by));
+                let route = "orders".parse().unwrap();
+                let attempt = Attempt { id, endpoint: endpoint(), route, account: None, start_by };
+                let verdicts = target.guard.arrive(attempt, now, &allow);
+                self.carry_out(process, verdicts);
+            }
+            Event::Fence { process, call, id, start_by } => {
+                let (answer, verdict) = self.processes[process].guard.fence(id, start_by, now);
+                self.send(Event::Fenced { process, call, id, answer });
+                self.carry_out(process, verdict.into_iter().collect());
+            }
+            Event::Run { process, call, id } => {
+                self.calls[call].starts += 1;
+                self.at(self.now + 40, Event::Done { process, call, id });
+            }
+            Event::Done { process, call, id } => {
+                let verdicts = self.processes[process].guard.finish(id, now, &allow);
+                self.send(Event::Answer { call, id });
+                self.carry_out(process, verdicts);
+            }
+            Event::Tick { process } => {
+                let verdicts = self.processes[process].guard.tick(now, &allow);
+                self.carry_out(process, verdicts);
+                if self.now < 20_000 {
+                    self.at(self.now + 50, Event::Tick { process });
+                }
+            }
+            Event::Refused { process, call, id, code } => {
+                let Some((_, handed_to)) = self.current(call, id, Phase::Waiting) else {
+                    return;
+                };
+                let incarnation = |process: usize| Incarnation(process as u64);
+                let evidence = refusal_evidence(code, incarnation(handed_to), incarnation(process));
+                self.ended(call, AttemptEnd::Refused { code, evidence });
+            }
+            Event::Answer { call, id } => {
+                if self.current(call, id, Phase::Waiting).is_some() {
+                    self.ended(call, AttemptEnd::AnsweredWhole);
+                }
+            }
+            Event::Fenced { process, call, id, answer } => {
+                let Some((_, handed_to)) = self.current(call, id, Phase::Fencing) else {
+                    return;
+                };
+                let result = match answer {
+                    _ if process != handed_to => FenceResult::NoAnswer,
+                    FenceAnswer::NotRun => FenceResult::NotRun,
+                    _ => FenceResult::MayHaveRun,
+                };
+                self.ended(call, AttemptEnd::Fenced { result });
+            }
+            Event::LinkLost { call, id } => {
+                if self.current(call, id, Phase::Waiting).is_some() {
+                    self.ended(call, AttemptEnd::Unknown { code: ResultCode::LinkLost });
+                }
+            }
+            Event::FenceTimeout { call, id } => {
+                if self.current(call, id, Phase::Fencing).is_some() {
+                    self.ended(call, AttemptEnd::Fenced { result: FenceResult::NoAnswer });
+                }
+            }
+            Event::Fault(index) => match self.faults[index].1 {
+                Fault::PauseEntry(pause) => self.entry_paused_until = self.now + pause,
+                Fault::PauseGuard(node, pause) => {
+                    self.processes[self.newest[node]].paused_until = self.now + pause;
+                }
+                Fault::Restart(node, pause) => {
+                    self.processes[self.newest[node]].paused_until = self.now + pause;
+                    self.newest[node] = self.start_process();
+                }
+            },
+        }
+    }
+
+    fn carry_out(&mut self, process: usize, verdicts: Vec<Verdict>) {
+        for Verdict { attempt: id, decision } in verdicts {
+            let (call, start_by) = self.processes[process].calls[&id];
+            match decision {
+                // The guard may be paused between the decision and the write to the upstream.
+                Decision::Start => {
+                    assert!(ms(self.now) < start_by, "started after its start-by");
+                    self.at(self.now + 1, Event::Run { process, call, id });
+                }
+                Decision::Queued => {}
+                Decision::Refuse(code) => self.send(Event::Refused { process, call, id, code }),
+            }
+        }
+    }
+
+    fn current(&self, call: usize, id: AttemptId, phase: Phase) -> Option<(AttemptId, usize)> {
+        let (current, process, _, at) = self.calls[call].current.as_ref()?;
+        (*current == id && *at == phase).then_some((*current, *process))
+    }
+
+    fn attempt(&mut self, call: usize) {
+        self.sequence += 1;
+        let id = AttemptId { entry: Incarnation(9), sequence: self.sequence };
+        let process = self.newest[self.sequence as usize % 2];
+        // Every process has the same clock here; `GuardClock` has its own test.
+        let start_by = self.calls[call].deadline;
+        self.calls[call].current = Some((id, process, start_by, Phase::Waiting));
+        self.send(Event::Call { process, call, id, start_by });
+        self.at(self.now + 150, Event::LinkLost { call, id });
+    }
+
+    fn ended(&mut self, call: usize, end: AttemptEnd) {
+        let now = ms(self.now);
+        let target = &mut self.calls[call];
+        match target.attempts.next(end, Body::Replayable, &mut self.budget, now) {
+            Next::RetryElsewhere => self.attempt(call),
+            Next::FenceThenDecide => {
+                let Some((id, process, start_by, phase)) = target.current.as_mut() else { return };
+                *phase = Phase::Fencing;
+                let (id, handed_to, start_by) = (*id, *process, *start_by);
+                // The other link leads to the newest process of the node, which may be another.
+                let node = usize::from(!self.sequence.is_multiple_of(2));
+                for process in [handed_to, self.newest[node]] {
+                    self.send(Event::Fence { process, call, id, start_by });
+                }
+                self.at(self.now + 300, Event::FenceTimeout { call, id });
+            }
+            outcome => {
+                target.current = None;
+                target.outcome = Some(outcome);
+            }
+        }
+    }
+}
+
+#[track_caller]
+fn check(world: &World) {
+    for (index, call) in world.calls.iter().enumerate() {
+        let at_most = if call.idempotence == Idempotence::NonIdempotent { 1 } else { 3 };
+        assert!(call.starts <= at_most, "call {index} started {} times", call.starts);
+        if let Some(Next::RefuseToCaller(code)) = call.outcome {
+            assert_eq!(call.starts, 0, "call {index} was refused with {code} and ran");
+        }
+    }
+}
+
+fn fate() -> impl Strategy<Value = Fate> {
+    let delay = || prop_oneof![6 => 1..20u64, 2 => 20..700u64, 1 => 700..9000u64];
+    prop_oneof![
+        2 => Just(Fate::Lost),
+        6 => delay().prop_map(Fate::Delivered),
+        3 => (delay(), delay()).prop_map(|(first, second)| Fate::Doubled(first, second)),
+    ]
+}
+
+fn fault() -> impl Strategy<Value = Fault> {
+    prop_oneof![
+        (1..2000u64).prop_map(Fault::PauseEntry),
+        (0..2usize, 1..8000u64).prop_map(|(node, pause)| Fault::PauseGuard(node, pause)),
+        (0..2usize, 0..8000u64).prop_map(|(node, pause)| Fault::Restart(node, pause)),
+    ]
+}
+
+fn call() -> impl Strategy<Value = (u64, Idempotence)> {
+    let idempotence = prop_oneof![
+        3 => Just(Idempotence::NonIdempotent),
+        1 => Just(Idempotence::Idempotent),
+    ];
+    (0..400u64, idempotence)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 3000,
+        rng_seed: RngSeed::Fixed(7),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn not_run_never_ran_and_nothing_runs_twice(
+        fates in prop::collection::vec(fate(), 1..40),
+        faults in prop::collection::vec((0..1500u64, fault()), 0..6),
+        calls in prop::collection::vec(call(), 1..12),
+    ) {
+        let mut world = World::new(fates, faults, &calls);
+        world.run();
+        check(&world);
+    }
+}
+
+/// Guards against a fake in which nothing happens, which would pass the property above.
+#[test]
+fn without_faults_every_call_is_answered_once() {
+    let calls = [(0, Idempotence::NonIdempotent); 8];
+    let mut world = World::new(vec![Fate::Delivered(2)], Vec::new(), &calls);
+    world.run();
+    check(&world);
+    for call in &world.calls {
+        assert_eq!((call.outcome, call.starts), (Some(Next::Answer), 1));
+    }
+}
--- /dev/null
+++ b/crates/admission/tests/guard.rs
@@ -0,0 +1,292 @@
+//! Rules of the guard, checked against random sequences of events.
+
+use std::collections::{HashMap, HashSet};
+
+use admission::{
+    Attempt, Cancelled, Check, Checks, Decision, Drain, FenceAnswer, Guard, GuardLimits, StopState,
+    Verdict,
+};
+use model::{
+    AccountName, AttemptId, EndpointName, EndpointState, Incarnation, ResultCode, Slots, Time,
+};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+const SLOTS: u32 = 2;
+
+fn id(sequence: u64) -> AttemptId {
+    AttemptId { entry: Incarnation(1), sequence }
+}
+
+fn ms(now: u64) -> Time {
+    Time::from_micros(now * 1000)
+}
+
+fn endpoint(number: u64) -> EndpointName {
+    format!("orders-{number}").parse().unwrap()
+}
+
+fn attempt(sequence: u64, account: &str, start_by: u64) -> Attempt {
+    let account: Option<AccountName> = account.parse().ok();
+    let route = "orders".parse().unwrap();
+    let start_by = ms(start_by);
+    Attempt { id: id(sequence), endpoint: endpoint(0), route, account, start_by }
+}
+
+fn allow(_: &Attempt) -> Check {
+    Check::Allowed
+}
+
+fn ready_guard(slots: u32) -> Guard {
+    let mut guard = Guard::new(GuardLimits::default());
+    for number in 0..2 {
+        let state = EndpointState::Ready;
+        guard.announce(&endpoint(number), Slots(slots), state, Time::ZERO, &allow);
+    }
+    guard
+}
+
+/// Starts of a round of finished calls: who got the slot.
+fn started(verdicts: &[Verdict]) -> Vec<u64> {
+    let starts = verdicts.iter().filter(|verdict| verdict.decision == Decision::Start);
+    starts.map(|verdict| verdict.attempt.sequence).collect()
+}
+
+#[derive(Debug, Clone)]
+enum Op {
+    Arrive { sequence: u64, endpoint: u64, start_by: u64 },
+    Finish(u64),
+    Cancel(u64),
+    Fence(u64),
+    Announce(u64, EndpointState),
+    Gone(u64),
+    Drain(u64, bool),
+    Withdraw,
+    Advance(u64),
+}
+
+fn op() -> impl Strategy<Value = Op> {
+    let sequence = || 0..30u64;
+    let states = [EndpointState::Ready, EndpointState::Leaving, EndpointState::Starting];
+    let state = prop::sample::select(states.to_vec());
+    prop_oneof![
+        12 => (sequence(), 0..2u64, 1..400u64).prop_map(|(sequence, endpoint, start_by)| {
+            Op::Arrive { sequence, endpoint, start_by }
+        }),
+        6 => sequence().prop_map(Op::Finish),
+        2 => sequence().prop_map(Op::Cancel),
+        2 => sequence().prop_map(Op::Fence),
+        2 => (0..2u64, state).prop_map(|(endpoint, state)| Op::Announce(endpoint, state)),
+        1 => (0..2u64).prop_map(Op::Gone),
+        1 => (0..2u64, any::<bool>()).prop_map(|(endpoint, drained)| Op::Drain(endpoint, drained)),
+        1 => Just(Op::Withdraw),
+        4 => prop_oneof![1..100u64, 4000..6000u64].prop_map(Op::Advance),
+    ]
+}
+
+/// What the test knows of the guard under test.
+struct Model {
+    guard: Guard,
+    now: u64,
+    open: HashMap<EndpointName, (EndpointState, bool)>,
+    attempts: HashMap<AttemptId, Attempt>,
+    started: HashSet<AttemptId>,
+    not_run: HashSet<AttemptId>,
+    is_withdrawn: bool,
+}
+
+impl Model {
+    fn new() -> Model {
+        let open = (0..2).map(|number| (endpoint(number), (EndpointState::Ready, false)));
+        Model {
+            guard: ready_guard(SLOTS),
+            now: 0,
+            open: open.collect(),
+            attempts: HashMap::new(),
+            started: HashSet::new(),
+            not_run: HashSet::new(),
+            is_withdrawn: false,
+        }
+    }
+
+    fn apply(&mut self, op: Op) {
+        let is_withdrawn = self.is_withdrawn;
+        let checks = move |_: &Attempt| match is_withdrawn {
+            true => Check::Refused(ResultCode::KeyRejected),
+            false => Check::Allowed,
+        };
+        let checks: &dyn Checks = &checks;
+        let now = ms(self.now);
+        let verdicts = match op {
+            Op::Arrive { sequence, endpoint: number, start_by } => {
+                // A copy of an attempt differs in nothing from the first one.
+                let mut new = attempt(sequence, "acme", self.now + start_by);
+                new.endpoint = endpoint(number);
+                let attempt = self.attempts.entry(new.id).or_insert(new).clone();
+                self.guard.arrive(attempt, now, checks)
+            }
+            Op::Finish(sequence) => self.guard.finish(id(sequence), now, checks),
+            Op::Cancel(sequence) => {
+                if self.guard.cancel(id(sequence), now) == Cancelled::Dequeued {
+                    self.not_run.insert(id(sequence));
+                }
+                Vec::new()
+            }
+            Op::Fence(sequence) => {
+                // A fence that overtakes the attempt carries the same start-by.
+                let new = attempt(sequence, "acme", self.now + 500);
+                let start_by = self.attempts.entry(id(sequence)).or_insert(new).start_by;
+                let (answer, verdict) = self.guard.fence(id(sequence), start_by, now);
+                if answer == FenceAnswer::NotRun {
+                    self.not_run.insert(id(sequence));
+                    assert!(!self.started.contains(&id(sequence)), "fenced as not run, but ran");
+                }
+                verdict.into_iter().collect()
+            }
+            Op::Announce(number, state) => {
+                let drained = self.open.get(&endpoint(number)).is_some_and(|(_, drained)| *drained);
+                self.open.insert(endpoint(number), (state, drained));
+                self.guard.announce(&endpoint(number), Slots(SLOTS), state, now, checks)
+            }
+            Op::Gone(number) => {
+                let open = self.open.entry(endpoint(number));
+                open.and_modify(|(state, _)| *state = EndpointState::Leaving);
+                self.guard.gone(&endpoint(number), now, checks)
+            }
+            Op::Drain(number, drained) => {
+                let open = self.open.entry(endpoint(number));
+                open.and_modify(|(_, is_drained)| *is_drained = drained);
+                let drain = if drained { Drain::Drained } else { Drain::InUse };
+                self.guard.set_drain(&endpoint(number), drain, now, checks)
+            }
+            Op::Withdraw => {
+                self.is_withdrawn = true;
+                Vec::new()
+            }
+            Op::Advance(by) => {
+                self.now += by;
+                self.guard.tick(ms(self.now), checks)
+            }
+        };
+        verdicts.into_iter().for_each(|verdict| self.check(verdict));
+        for number in 0..2 {
+            let load = self.guard.load(&endpoint(number));
+            assert!(load.is_none_or(|load| load.running <= SLOTS && load.queued <= 4 * SLOTS));
+        }
+    }
+
+    fn check(&mut self, verdict: Verdict) {
+        let id = verdict.attempt;
+        match verdict.decision {
+            Decision::Queued | Decision::Refuse(ResultCode::AttemptRepeated) => {}
+            Decision::Refuse(code) => {
+                assert!(!self.started.contains(&id), "{id} refused with {code} after it ran");
+                self.not_run.insert(id);
+            }
+            Decision::Start => {
+                let attempt = &self.attempts[&id];
+                assert!(self.started.insert(id), "{id} started twice");
+                assert!(!self.not_run.contains(&id), "{id} started after it was refused or fenced");
+                assert!(ms(self.now) < attempt.start_by, "{id} started after its start-by");
+                assert_eq!(self.open[&attempt.endpoint], (EndpointState::Ready, false));
+                assert!(!self.is_withdrawn, "{id} started after its key was withdrawn");
+            }
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 3000,
+        rng_seed: RngSeed::Fixed(9),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against a start that a deadline, fence, drain, withdrawal or earlier copy forbids,
+    /// and against more running calls than slots (P7, P8, P9).
+    #[test]
+    fn nothing_starts_that_must_not(ops in prop::collection::vec(op(), 1..120)) {
+        let mut model = Model::new();
+        ops.into_iter().for_each(|op| model.apply(op));
+    }
+}
+
+/// Guards against an account with a backlog that keeps others out of queue and slots.
+#[test]
+fn an_account_with_a_backlog_does_not_keep_others_out() {
+    let mut guard = ready_guard(1);
+    for sequence in 0..5 {
+        guard.arrive(attempt(sequence, "large", 60_000), ms(0), &allow);
+    }
+    let verdicts = guard.arrive(attempt(10, "small", 60_000), ms(1), &allow);
+    let displaced = Decision::Refuse(ResultCode::QueueFull);
+    let expected = [
+        Verdict { attempt: id(10), decision: Decision::Queued },
+        Verdict { attempt: id(4), decision: displaced },
+    ];
+    assert_eq!(verdicts, expected);
+    assert_eq!(started(&guard.finish(id(0), ms(50), &allow)), [10]);
+    assert_eq!(started(&guard.finish(id(10), ms(60), &allow)), [1]);
+}
+
+/// Guards against an account that saves up service while idle and then holds every slot.
+#[test]
+fn an_idle_account_saves_up_only_a_small_credit() {
+    let mut guard = ready_guard(1);
+    let mut now = 0;
+    for sequence in 0..40 {
+        guard.arrive(attempt(sequence, "steady", 60_000), ms(now), &allow);
+        now += 50;
+        guard.finish(id(sequence), ms(now), &allow);
+    }
+    guard.arrive(attempt(100, "steady", 60_000), ms(now), &allow);
+    let mut finishing = 100;
+    let mut order = Vec::new();
+    for next in 0..12 {
+        for (account, sequence) in [("steady", 101 + next), ("idle", 201 + next)] {
+            guard.arrive(attempt(sequence, account, 60_000), ms(now), &allow);
+        }
+        now += 50;
+        let verdicts = guard.finish(id(finishing), ms(now), &allow);
+        finishing = started(&verdicts)[0];
+        order.push(finishing >= 200);
+    }
+    let idle = order.iter().filter(|is_idle| **is_idle).count();
+    assert!((5..=9).contains(&idle), "the idle account got {idle} of 12 slots");
+}
+
+/// Guards against refusing calls that were accepted before the stop (P10).
+#[test]
+fn a_stop_finishes_running_and_queued_calls() {
+    let mut guard = ready_guard(1);
+    guard.arrive(attempt(0, "a", 60_000), ms(0), &allow);
+    guard.arrive(attempt(1, "a", 60_000), ms(0), &allow);
+    assert_eq!(guard.stop_state(), StopState::Serving);
+    guard.stop();
+    let verdicts = guard.arrive(attempt(2, "a", 60_000), ms(1), &allow);
+    assert_eq!(verdicts[0].decision, Decision::Refuse(ResultCode::Stopping));
+    assert_eq!(guard.stop_state(), StopState::Finishing { calls: 2 });
+    assert_eq!(started(&guard.finish(id(0), ms(2), &allow)), [1]);
+    guard.finish(id(1), ms(3), &allow);
+    assert_eq!(guard.stop_state(), StopState::Empty);
+}
+
+/// Guards against a ledger that grows without bound, and against evidence for what it can't
+/// record.
+#[test]
+fn a_full_ledger_refuses_and_gives_no_evidence_that_it_cannot_keep() {
+    let limits = GuardLimits { ledger_entries: 16, ..GuardLimits::default() };
+    let mut guard = Guard::new(limits);
+    guard.announce(&endpoint(0), Slots(1), EndpointState::Ready, ms(0), &allow);
+    let decisions: Vec<_> = (0..20)
+        .map(|sequence| guard.arrive(attempt(sequence, "a", 1000), ms(0), &allow)[0].decision)
+        .collect();
+    assert_eq!(decisions[17], Decision::Refuse(ResultCode::QueueFull));
+    assert_eq!(decisions[18], Decision::Refuse(ResultCode::AttemptRepeated));
+    assert_eq!(guard.fence(id(99), ms(1000), ms(0)).0, FenceAnswer::Unknown);
+    assert_eq!(guard.ledger_len(), 18);
+    guard.tick(ms(7000), &allow);
+    guard.finish(id(0), ms(7000), &allow);
+    assert_eq!(guard.ledger_len(), 0);
+}
--- /dev/null
+++ b/crates/routing/tests/balancer.rs
@@ -0,0 +1,160 @@
+//! Choice of endpoints.
+
+use std::time::Duration;
+
+use model::{EndpointName, FailureDomain, LoadReport, NodeName, Slots};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use routing::{
+    Balancer, BalancerParams, Candidate, Candidates, Idempotence, KnownLoad, Reason, SplitMix64,
+    Stage,
+};
+
+/// An endpoint as a test describes it.
+#[derive(Debug, Clone)]
+struct Spec {
+    name: EndpointName,
+    domain: FailureDomain,
+    running: u32,
+    weight: u8,
+    stage: Stage,
+}
+
+struct Fleet {
+    node: NodeName,
+    specs: Vec<Spec>,
+}
+
+impl Candidates for Fleet {
+    fn count(&self) -> usize {
+        self.specs.len()
+    }
+
+    fn candidate(&self, index: usize) -> Candidate<'_> {
+        let spec = &self.specs[index];
+        let slots = Slots(3);
+        let mean_service = Duration::from_millis(50);
+        let report = LoadReport { slots, running: spec.running, queued: 0, mean_service };
+        Candidate {
+            endpoint: &spec.name,
+            node: &self.node,
+            domain: &spec.domain,
+            slots,
+            weight: spec.weight,
+            stage: spec.stage,
+            path_penalty: Duration::ZERO,
+            load: Some(KnownLoad { report, age: Duration::ZERO, sent_since: 0 }),
+        }
+    }
+}
+
+fn domain(number: u32) -> FailureDomain {
+    format!("mid-{number}").parse().unwrap()
+}
+
+fn spec(number: usize, in_domain: u32, running: u32, weight: u8) -> Spec {
+    let name = format!("orders-{number}").parse().unwrap();
+    Spec { name, domain: domain(in_domain), running, weight, stage: Stage::Regular }
+}
+
+fn fleet(specs: Vec<Spec>) -> Fleet {
+    Fleet { node: "node-1".parse().unwrap(), specs }
+}
+
+fn balancer() -> Balancer {
+    Balancer::new(domain(0), BalancerParams::default())
+}
+
+/// How often each endpoint is chosen.
+fn counts(fleet: &Fleet, idempotence: Idempotence, rounds: usize) -> Vec<usize> {
+    let mut random = SplitMix64::new(3);
+    let mut counts = vec![0; fleet.specs.len()];
+    for _ in 0..rounds {
+        let choice = balancer().choose(fleet, &[], idempotence, &mut random).unwrap();
+        counts[choice.index] += 1;
+    }
+    counts
+}
+
+/// Guards against sending calls across domains while there is room nearby, and against queueing
+/// nearby while there is room elsewhere.
+#[test]
+fn the_own_domain_is_preferred_until_it_is_full() {
+    let near_free = fleet(vec![spec(0, 0, 2, 100), spec(1, 1, 0, 100)]);
+    assert_eq!(counts(&near_free, Idempotence::Idempotent, 100), [100, 0]);
+    let near_full = fleet(vec![spec(0, 0, 3, 100), spec(1, 1, 0, 100)]);
+    assert_eq!(counts(&near_full, Idempotence::Idempotent, 100), [0, 100]);
+}
+
+/// Guards against every entry choosing the same of several equal endpoints.
+#[test]
+fn ties_are_broken_evenly() {
+    let equal = fleet((0..4).map(|number| spec(number, 0, 0, 100)).collect());
+    let counts = counts(&equal, Idempotence::Idempotent, 4000);
+    assert!(counts.iter().all(|count| (850..1150).contains(count)), "{counts:?}");
+}
+
+/// Guards against a returning endpoint that gets its full share at once, or none.
+#[test]
+fn a_reduced_weight_takes_its_share() {
+    let mut specs: Vec<Spec> = (0..4).map(|number| spec(number, 0, 0, 100)).collect();
+    specs[0].weight = 10;
+    let shares = counts(&fleet(specs.clone()), Idempotence::Idempotent, 20_000);
+    assert!((300..800).contains(&shares[0]), "{shares:?}");
+    specs[0].stage = Stage::Probation;
+    assert_eq!(counts(&fleet(specs), Idempotence::NonIdempotent, 1000)[0], 0);
+}
+
+/// Guards against refusing calls while an endpoint could take them, however low its weight.
+#[test]
+fn the_last_endpoint_is_used_whatever_its_weight() {
+    let last = fleet(vec![spec(0, 0, 0, 0), spec(1, 0, 0, 1)]);
+    assert_eq!(counts(&last, Idempotence::Idempotent, 100), [0, 100]);
+    let far_end: Vec<Spec> =
+        (0..1000).map(|number| spec(number, 0, 0, if number == 777 { 1 } else { 0 })).collect();
+    assert_eq!(counts(&fleet(far_end), Idempotence::Idempotent, 20)[777], 20);
+}
+
+/// Guards against a cost per decision that grows with the number of endpoints.
+#[test]
+fn a_choice_among_many_compares_few() {
+    let many = fleet((0..1000).map(|number| spec(number, 0, 0, 100)).collect());
+    let mut random = SplitMix64::new(3);
+    let choice = balancer().choose(&many, &[], Idempotence::Idempotent, &mut random).unwrap();
+    assert!(choice.considered <= BalancerParams::default().sample);
+    assert_eq!(choice.reason, Reason::TieBroken);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(11),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against choosing an endpoint that was tried, is ejected or is on probation.
+    #[test]
+    fn only_eligible_endpoints_are_chosen(
+        states in prop::collection::vec((0..3u32, 0..6u32, 0..=100u8, any::<bool>()), 0..60),
+        tried in prop::collection::vec(0..60usize, 0..3),
+        seed in any::<u64>(),
+    ) {
+        let specs = states.iter().enumerate().map(|(number, &(domain, running, weight, regular))| {
+            let stage = if regular { Stage::Regular } else { Stage::Probation };
+            let weight = if weight < 30 { 0 } else { weight };
+            Spec { stage, ..spec(number, domain, running, weight) }
+        });
+        let fleet = fleet(specs.collect());
+        let tried: Vec<EndpointName> =
+            tried.iter().filter_map(|&index| Some(fleet.specs.get(index)?.name.clone())).collect();
+        let eligible = |spec: &Spec| {
+            spec.weight > 0 && spec.stage == Stage::Regular && !tried.contains(&spec.name)
+        };
+        let method = Idempotence::NonIdempotent;
+        let choice = balancer().choose(&fleet, &tried, method, &mut SplitMix64::new(seed));
+        prop_assert_eq!(choice.is_some(), fleet.specs.iter().any(eligible));
+        if let Some(choice) = choice {
+            prop_assert!(eligible(&fleet.specs[choice.index]));
+        }
+    }
+}
--- /dev/null
+++ b/crates/routing/tests/calls.rs
@@ -0,0 +1,167 @@
+//! Retries and the estimate of a guard's time.
+
+use std::time::Duration;
+
+use model::{Incarnation, Percent, ResultCode, Time};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use routing::{
+    AttemptEnd, Body, CallAttempts, CallKind, Evidence, FenceResult, Grant, GuardClock,
+    Idempotence, Next, RetryBudget, refusal_evidence,
+};
+
+const NOT_RUN: AttemptEnd =
+    AttemptEnd::Refused { code: ResultCode::QueueFull, evidence: Evidence::NotRun };
+const UNKNOWN: AttemptEnd = AttemptEnd::Unknown { code: ResultCode::LinkLost };
+
+fn ms(now: u64) -> Time {
+    Time::from_micros(now * 1000)
+}
+
+#[track_caller]
+fn check(idempotence: Idempotence, body: Body, steps: &[(AttemptEnd, u64, Next)]) {
+    let mut budget = RetryBudget::new(Percent::new(100).unwrap());
+    let mut attempts = CallAttempts::new(CallKind { idempotence, deadline: ms(1000) });
+    for &(end, now, expected) in steps {
+        assert_eq!(attempts.next(end, body, &mut budget, ms(now)), expected, "after {end:?}");
+    }
+}
+
+/// Guards against a second run of a non-idempotent request after a timeout.
+#[test]
+fn a_non_idempotent_call_is_retried_only_on_evidence() {
+    use Idempotence::NonIdempotent;
+    let fenced = |result| AttemptEnd::Fenced { result };
+    let lost = Next::UnknownToCaller(ResultCode::LinkLost);
+    let full = Next::RefuseToCaller(ResultCode::QueueFull);
+    let retry = Next::RetryElsewhere;
+    check(NonIdempotent, Body::Replayable, &[(NOT_RUN, 1, retry), (NOT_RUN, 2, retry)]);
+    check(NonIdempotent, Body::Consumed, &[(NOT_RUN, 1, full)]);
+    let fence = (UNKNOWN, 1, Next::FenceThenDecide);
+    let not_run = (fenced(FenceResult::NotRun), 2, retry);
+    check(NonIdempotent, Body::Replayable, &[fence, not_run]);
+    for result in [FenceResult::MayHaveRun, FenceResult::NoAnswer] {
+        check(NonIdempotent, Body::Replayable, &[fence, (fenced(result), 2, lost)]);
+    }
+    check(NonIdempotent, Body::Replayable, &[(UNKNOWN, 1000, lost)]);
+    let repeated =
+        AttemptEnd::Refused { code: ResultCode::AttemptRepeated, evidence: Evidence::Missing };
+    check(NonIdempotent, Body::Replayable, &[(repeated, 1, Next::FenceThenDecide)]);
+}
+
+/// Guards against "not run" for a call of which an earlier attempt may have run.
+#[test]
+fn an_unknown_attempt_is_not_forgotten() {
+    let lost = Next::UnknownToCaller(ResultCode::LinkLost);
+    let retry = Next::RetryElsewhere;
+    let steps = [(UNKNOWN, 1, retry), (NOT_RUN, 2, retry), (NOT_RUN, 3, lost)];
+    check(Idempotence::Idempotent, Body::Replayable, &steps);
+}
+
+/// Guards against retries without bound, after the deadline, or of what no endpoint accepts.
+#[test]
+fn retries_end() {
+    let full = Next::RefuseToCaller(ResultCode::QueueFull);
+    let retry = Next::RetryElsewhere;
+    let idempotent = Idempotence::Idempotent;
+    let steps = [(NOT_RUN, 1, retry), (NOT_RUN, 2, retry), (NOT_RUN, 3, full)];
+    check(idempotent, Body::Replayable, &steps);
+    check(idempotent, Body::Replayable, &[(NOT_RUN, 1000, full)]);
+    let rejected =
+        AttemptEnd::Refused { code: ResultCode::KeyRejected, evidence: Evidence::NotRun };
+    let refuse = Next::RefuseToCaller(ResultCode::KeyRejected);
+    check(idempotent, Body::Replayable, &[(rejected, 1, refuse)]);
+    let cut = AttemptEnd::AnswerCut { code: ResultCode::UpstreamLost };
+    let lost = Next::UnknownToCaller(ResultCode::UpstreamLost);
+    check(idempotent, Body::Replayable, &[(cut, 1, lost)]);
+}
+
+/// Guards against evidence from a process that never had the attempt.
+#[test]
+fn only_the_same_process_gives_evidence() {
+    let (old, new) = (Incarnation(1), Incarnation(2));
+    assert_eq!(refusal_evidence(ResultCode::QueueFull, old, old), Evidence::NotRun);
+    assert_eq!(refusal_evidence(ResultCode::QueueFull, old, new), Evidence::Missing);
+    assert_eq!(refusal_evidence(ResultCode::AttemptRepeated, old, old), Evidence::Missing);
+    assert_eq!(refusal_evidence(ResultCode::UpstreamLost, old, old), Evidence::Missing);
+}
+
+/// Guards against retries that multiply the load of a failing service, and against none at all on
+/// a route with few calls.
+#[test]
+fn retries_stay_within_the_budget() {
+    let mut budget = RetryBudget::new(Percent::new(20).unwrap());
+    let mut granted = 0;
+    for call in 0..6000 {
+        let now = Time::from_micros(call * 10_000);
+        budget.count_call(now);
+        granted += u32::from(budget.request_retry(now) == Grant::Granted);
+    }
+    assert!((1100..=1200).contains(&granted), "{granted} retries of 6000 calls");
+    let mut quiet = RetryBudget::new(Percent::new(0).unwrap());
+    let grants: Vec<Grant> = (0..4).map(|_| quiet.request_retry(ms(0))).collect();
+    assert_eq!(grants[2..], [Grant::Granted, Grant::Exhausted]);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 1000,
+        rng_seed: RngSeed::Fixed(13),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against a start-by that lies after the deadline in the guard's time, with clocks
+    /// that differ in start and, by up to 0.1 per cent, in speed.
+    #[test]
+    fn the_estimate_is_never_ahead_of_the_guard(
+        beats in prop::collection::vec(
+            (1..15_000_000u64, 0..4_000_000u64, prop::bool::weighted(0.1)), 1..30),
+        speed in -1000..=1000i64,
+        start in 0..1_000_000_000u64,
+        deadline in 1..600_000_000u64,
+        probe in 0..12_000_000u64,
+    ) {
+        // Elapsed guard time is own time times (1 + speed / 1,000,000).
+        let mut clock = GuardClock::new();
+        let (mut now, mut guard, mut start) = (0u64, Incarnation(1), start);
+        for (gap, delay, is_replaced) in beats {
+            now += gap;
+            if is_replaced {
+                guard = Incarnation(guard.0 + 1);
+                // The clock of a new process may lie far behind that of the old one.
+                start /= 2;
+            }
+            let guard_time = |at: u64| {
+                Time::from_micros(start + (at as i64 + (at as i64 * speed).div_euclid(1_000_000)) as u64)
+            };
+            let received_at = now + delay;
+            clock.sample(guard, guard_time(now), Time::from_micros(received_at));
+            now = received_at;
+            let asked = Time::from_micros(now + probe);
+            let deadline = asked + Duration::from_micros(deadline);
+            match clock.start_by(deadline, asked) {
+                Ok(start_by) => {
+                    prop_assert!(probe < 10_000_000);
+                    prop_assert!(start_by.at <= guard_time(deadline.as_micros()));
+                    prop_assert_eq!(start_by.guard, guard);
+                    let estimate = clock.now(asked).unwrap();
+                    prop_assert!(estimate <= guard_time(now + probe));
+                }
+                Err(code) => {
+                    prop_assert!(probe >= 10_000_000);
+                    prop_assert_eq!(code, ResultCode::LinkUnavailable);
+                }
+            }
+        }
+    }
+}
+
+/// Guards against sending a call that nobody waits for any more.
+#[test]
+fn a_passed_deadline_is_refused() {
+    let mut clock = GuardClock::new();
+    clock.sample(Incarnation(1), ms(5), ms(5));
+    assert_eq!(clock.start_by(ms(10), ms(10)), Err(ResultCode::DeadlineBeforeStart));
+    assert_eq!(clock.start_by(ms(20), ms(10)).unwrap().guard, Incarnation(1));
+}
