--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -7,6 +7,7 @@
 mod balancer;
 mod budget;
 mod clock;
+mod load_view;
 mod random;
 mod retry;
 
@@ -15,6 +16,7 @@
 };
 pub use budget::{Grant, RetryBudget};
 pub use clock::{GuardClock, StartBy};
+pub use load_view::LoadView;
 pub use random::{RandomSource, SplitMix64};
 pub use retry::{
     AttemptEnd, Body, CallAttempts, CallKind, Evidence, FenceResult, Idempotence, Next,
--- /dev/null
+++ b/crates/routing/src/load_view.rs
@@ -0,0 +1,59 @@
+//! What an entry knows of the load of an endpoint.
+
+use std::time::Duration;
+
+use model::{LoadReport, Time};
+
+use crate::balancer::KnownLoad;
+
+/// The last report about an endpoint and the own calls that it does not include.
+///
+/// ```
+/// use model::{LoadReport, Slots, Time};
+/// use routing::LoadView;
+/// use std::time::Duration;
+///
+/// let mut view = LoadView::default();
+/// let mean_service = Duration::from_millis(50);
+/// let report = LoadReport { slots: Slots(3), running: 1, queued: 0, mean_service };
+/// view.report(report, Time::from_micros(10_000), Duration::from_millis(2));
+/// view.sent(Time::from_micros(12_000));
+/// let known = view.known(Time::from_micros(15_000)).unwrap();
+/// assert_eq!((known.sent_since, known.age), (1, Duration::from_millis(5)));
+/// ```
+#[derive(Debug, Clone, Default)]
+pub struct LoadView {
+    last: Option<(LoadReport, Time)>,
+    /// Calls sent after this time are not in the report.
+    includes_until: Time,
+    in_flight: Vec<Time>,
+}
+
+impl LoadView {
+    /// Takes a report from an answer or a heartbeat. A call that was sent less than a round trip
+    /// before the report arrived had not reached the guard when the report was made.
+    pub fn report(&mut self, report: LoadReport, received_at: Time, round_trip: Duration) {
+        self.last = Some((report, received_at));
+        self.includes_until = received_at - round_trip;
+    }
+
+    /// Notes that a call was sent.
+    pub fn sent(&mut self, at: Time) {
+        self.in_flight.push(at);
+    }
+
+    /// Notes the end of the call that was sent at `sent_at`.
+    pub fn ended(&mut self, sent_at: Time) {
+        if let Some(index) = self.in_flight.iter().position(|at| *at == sent_at) {
+            self.in_flight.swap_remove(index);
+        }
+    }
+
+    /// The load to choose by, or `None` before the first report.
+    pub fn known(&self, now: Time) -> Option<KnownLoad> {
+        let (report, received_at) = self.last?;
+        let is_missing = |sent_at: &&Time| **sent_at > self.includes_until;
+        let sent_since = self.in_flight.iter().filter(is_missing).count() as u32;
+        Some(KnownLoad { report, age: now.since(received_at), sent_since })
+    }
+}
