--- /dev/null
+++ b/crates/health/src/path.rs
@@ -0,0 +1,82 @@
+//! Local weight of the path from an entry to an endpoint.
+
+use std::time::Duration;
+
+use model::Time;
+
+use crate::list::Weight;
+
+/// Time in which the remembered share of failures halves.
+const HALF_LIFE: Duration = Duration::from_secs(2);
+
+/// Calls without failure that are assumed before the first real one, so that one early failure
+/// does not take all weight from a path.
+const PRIOR_CALLS: f64 = 3.0;
+
+/// A path is slow when its mean latency exceeds the expected latency by this factor.
+const SLOW_FACTOR: f64 = 2.0;
+
+/// Recent failures and latency of one path. The weight never reaches 0, because a path penalty is
+/// local and must not add up to an ejection.
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use health::{PathPenalty, Weight};
+/// use model::Time;
+///
+/// let mut path = PathPenalty::default();
+/// for _ in 0..5 {
+///     path.record_failure(Time::ZERO);
+/// }
+/// assert!(path.weight(Time::ZERO, Duration::from_millis(50)) < Weight::new(60));
+/// let later = Time::ZERO + Duration::from_secs(30);
+/// assert_eq!(path.weight(later, Duration::from_millis(50)), Weight::FULL);
+/// ```
+#[derive(Debug, Clone, Default)]
+pub struct PathPenalty {
+    failures: f64,
+    successes: f64,
+    latency_sum: f64,
+    at: Time,
+}
+
+impl PathPenalty {
+    /// Records an answered call.
+    pub fn record_success(&mut self, latency: Duration, now: Time) {
+        self.decay(now);
+        self.successes += 1.0;
+        self.latency_sum += latency.as_secs_f64();
+    }
+
+    /// Records a failed call or a lost link.
+    pub fn record_failure(&mut self, now: Time) {
+        self.decay(now);
+        self.failures += 1.0;
+    }
+
+    /// The weight at `now`; `expected` is the usual latency of the route.
+    pub fn weight(&self, now: Time, expected: Duration) -> Weight {
+        let keep = self.kept(now);
+        let failures = self.failures * keep;
+        let successes = self.successes * keep;
+        let good = (successes + PRIOR_CALLS) / (failures + successes + PRIOR_CALLS);
+        let mean = (self.latency_sum * keep + expected.as_secs_f64() * PRIOR_CALLS)
+            / (successes + PRIOR_CALLS);
+        let slowness = mean / expected.as_secs_f64().max(1e-6);
+        let pace = if slowness > SLOW_FACTOR { SLOW_FACTOR / slowness } else { 1.0 };
+        Weight::new((100.0 * good * pace).round().max(1.0) as u8)
+    }
+
+    fn decay(&mut self, now: Time) {
+        let keep = self.kept(now);
+        self.failures *= keep;
+        self.successes *= keep;
+        self.latency_sum *= keep;
+        self.at = self.at.max(now);
+    }
+
+    fn kept(&self, now: Time) -> f64 {
+        (-now.since(self.at).as_secs_f64() / HALF_LIFE.as_secs_f64()).exp2()
+    }
+}
