Add threads and seeds to the settings

A node that starts while the platform is away needs a peer to copy the configuration from, and nothing else tells it one. The limit on bodies is raised to 64 MB, since answers and requests of tens of megabytes are expected.

--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -7,10 +7,11 @@
 //! |---|---|---|---|
 //! | `node` | `name` | name of the node, unique in the fleet | required |
 //! | `node` | `domain` | failure domain of the instance | required |
+//! | `node` | `threads` | threads that serve calls | 2 |
 //! | `caller` | `listen` | address for callers | required |
 //! | `caller` | `max_connections` | connections of callers at the same time | 4096 |
 //! | `caller` | `max_head` | longest head of a request | 16KB |
-//! | `caller` | `max_body` | longest body of a request | 8MB |
+//! | `caller` | `max_body` | longest body of a request | 64MB |
 //! | `caller` | `idle_timeout` | time after which an idle connection is closed | 60s |
 //! | `peer` | `listen` | address for other nodes | required |
 //! | `peer` | `advertise` | address that other nodes connect to | `listen` |
@@ -19,6 +20,7 @@
 //! | `operator` | `credential` | credential of operators | required |
 //! | `platform` | `url` | URL of the platform | required |
 //! | `fleet` | `secret` | secret that nodes prove to each other | required |
+//! | `fleet` | `seeds` | peer addresses to ask for the configuration while the platform is away | none |
 //! | `log` | `level` | error, warn, info, debug or trace | info |
 
 mod mistake;
@@ -51,6 +53,9 @@
 /// Longest idle timeout.
 const MAX_IDLE: Duration = Duration::from_secs(3600);
 
+/// Most threads that serve calls.
+const MAX_THREADS: usize = 64;
+
 const ADDRESS: &str = "an IP address and port, such as 127.0.0.1:7070";
 
 /// Settings of a node.
@@ -70,6 +75,9 @@
     pub platform_url: Box<str>,
     /// Secret that nodes prove to each other.
     pub fleet_secret: Secret,
+    /// Peer addresses of nodes that a starting node asks for the configuration while the platform
+    /// is away.
+    pub fleet_seeds: Vec<SocketAddr>,
     /// Lowest level that is logged.
     pub log_level: LogLevel,
 }
@@ -81,6 +89,8 @@
     pub name: NodeName,
     /// Failure domain of the instance.
     pub domain: FailureDomain,
+    /// Threads that serve calls.
+    pub threads: usize,
 }
 
 /// Section `[caller]`.
@@ -184,6 +194,9 @@
 fn read_settings(reader: &mut Reader) -> Option<Settings> {
     let name = reader.required("node", "name", "a name of a-z, A-Z, 0-9, '-', '_' and '.'", id);
     let domain = reader.required("node", "domain", "a name like mid-a", id);
+    let threads = reader.optional("node", "threads", "a number from 1 to 64", "2", |text| {
+        text.parse().ok().filter(|n| (1..=MAX_THREADS).contains(n))
+    });
     let caller_listen = reader.required("caller", "listen", ADDRESS, address);
     let caller = read_caller(reader, caller_listen);
     let peer_listen = reader.required("peer", "listen", ADDRESS, address);
@@ -201,6 +214,11 @@
         reader.required("operator", "credential", values::SECRET_EXPECTED, Secret::parse);
     let url = reader.required("platform", "url", "a URL like http://10.0.0.1:7000", http_url);
     let secret = reader.required("fleet", "secret", values::SECRET_EXPECTED, Secret::parse);
+    let addresses = "IP addresses and ports, separated by commas";
+    let seeds = reader.optional("fleet", "seeds", addresses, "", |text| {
+        let parts = text.split(',').map(str::trim).filter(|part| !part.is_empty());
+        parts.map(address).collect::<Option<Vec<SocketAddr>>>()
+    });
     let levels = "error, warn, info, debug or trace";
     let level = reader.optional("log", "level", levels, "info", LogLevel::parse);
     reader.check_distinct_listeners(&[
@@ -210,13 +228,14 @@
         ("operator", operator),
     ]);
     Some(Settings {
-        node: NodeSettings { name: name?, domain: domain? },
+        node: NodeSettings { name: name?, domain: domain?, threads: threads? },
         caller: caller?,
         peer: peer?,
         upstream: UpstreamSettings { listen: upstream? },
         operator: OperatorSettings { listen: operator?, credential: credential? },
         platform_url: url?,
         fleet_secret: secret?,
+        fleet_seeds: seeds?,
         log_level: level?,
     })
 }
@@ -232,7 +251,7 @@
         ByteSize::parse(text).filter(|size| (ByteSize(1024)..=MAX_HEAD).contains(size))
     });
     let body = "a size from 1B to 1GB";
-    let max_body = reader.optional("caller", "max_body", body, "8MB", |text| {
+    let max_body = reader.optional("caller", "max_body", body, "64MB", |text| {
         ByteSize::parse(text).filter(|size| (ByteSize(1)..=MAX_BODY).contains(size))
     });
     let idle = "a time from 100ms to 3600s";
--- a/crates/settings/src/reader.rs
+++ b/crates/settings/src/reader.rs
@@ -12,6 +12,7 @@
 const KNOWN: &[(&str, &str)] = &[
     ("node", "name"),
     ("node", "domain"),
+    ("node", "threads"),
     ("caller", "listen"),
     ("caller", "max_connections"),
     ("caller", "max_head"),
@@ -24,6 +25,7 @@
     ("operator", "credential"),
     ("platform", "url"),
     ("fleet", "secret"),
+    ("fleet", "seeds"),
     ("log", "level"),
 ];
 
