--- a/crates/membership/src/directory.rs
+++ b/crates/membership/src/directory.rs
@@ -198,7 +198,7 @@
         service: &ServiceName,
         selector: &'a Selector,
         now: Time,
-    ) -> impl Iterator<Item = &'a EndpointEntry> {
+    ) -> impl Iterator<Item = &'a EndpointEntry> + use<'a> {
         let entries = self.all(service).iter();
         entries.filter(move |entry| {
             entry.is_open() && self.is_reachable(entry, now) && selector.matches(&entry.labels)
--- a/crates/membership/src/ownership.rs
+++ b/crates/membership/src/ownership.rs
@@ -253,6 +253,8 @@
                 return Step::WaitUntil(until);
             }
             Claim::Waiting { until } if now < *until => return Step::WaitUntil(*until),
+            // A process without a lease may have been deposed without knowing it.
+            Claim::Waiting { .. } if !view.lease.is_valid(now) => return Step::Nothing,
             Claim::Waiting { .. } => {
                 partition.claim = Claim::None;
                 if let Some((record, _)) = &partition.record {
