--- a/crates/config/tests/replica.rs
+++ b/crates/config/tests/replica.rs
@@ -107,6 +107,8 @@
     let deletion = vec![object(Kind::Account, "a", 7, None)];
     assert_eq!(check(6, 7, deletion, Applied::Applied), (7, true, false));
     assert_eq!(replica.apply_listing(Revision(7), vec![]), Applied::AlreadyKnown);
+    assert_eq!(replica.kind_revision(Kind::Account), Revision(7));
+    assert_eq!(replica.kind_revision(Kind::Node), Revision(5));
 }
 
 /// Guards against a revision that moves before the last chunk, and against mixed transfers.
--- a/crates/membership/src/directory.rs
+++ b/crates/membership/src/directory.rs
@@ -69,6 +69,30 @@
 }
 
 /// The endpoint tables of all nodes, by service.
+///
+/// ```
+/// use membership::Directory;
+/// use model::{Endpoint, EndpointState, Incarnation, Labels, Selector, Slots, Time};
+/// use std::time::Duration;
+///
+/// let endpoint = Endpoint {
+///     name: "orders-1".parse().unwrap(),
+///     service: "orders".parse().unwrap(),
+///     labels: Labels::new(),
+///     addr: "127.0.0.1:9000".parse().unwrap(),
+///     slots: Slots(3),
+///     state: EndpointState::Ready,
+///     load: 10,
+/// };
+/// let (service, peer) = (endpoint.service.clone(), "node-2".parse().unwrap());
+/// let mut directory = Directory::new("node-1".parse().unwrap());
+/// directory.apply_table(&peer, Incarnation(7), 1, vec![endpoint]);
+/// directory.pong(&peer, Incarnation(7), Time::ZERO);
+/// let any = Selector::default();
+/// assert_eq!(directory.usable(&service, &any, Time::ZERO).count(), 1);
+/// let later = Time::ZERO + Duration::from_secs(2);
+/// assert_eq!(directory.usable(&service, &any, later).count(), 0);
+/// ```
 #[derive(Debug)]
 pub struct Directory {
     own: NodeName,
@@ -199,9 +223,19 @@
         selector: &'a Selector,
         now: Time,
     ) -> impl Iterator<Item = &'a EndpointEntry> + use<'a> {
+        // Equal labels are one value, so the selector need not look at them again.
+        let mut last: Option<(&Arc<Labels>, bool)> = None;
+        let mut is_picked = move |labels: &'a Arc<Labels>| match last {
+            Some((known, picked)) if Arc::ptr_eq(known, labels) => picked,
+            _ => {
+                let picked = selector.matches(labels);
+                last = Some((labels, picked));
+                picked
+            }
+        };
         let entries = self.all(service).iter();
         entries.filter(move |entry| {
-            entry.is_open() && self.is_reachable(entry, now) && selector.matches(&entry.labels)
+            entry.is_open() && self.is_reachable(entry, now) && is_picked(&entry.labels)
         })
     }
 
--- a/crates/membership/src/lease.rs
+++ b/crates/membership/src/lease.rs
@@ -150,8 +150,8 @@
         peer.pings.push_back((sequence, now));
     }
 
-    /// Takes a Pong. Duplicates, answers to unknown Pings and answers of a replaced process are
-    /// ignored.
+    /// Takes a Pong that came over a link of this process. Duplicates, answers to unknown Pings
+    /// and answers of a replaced process are ignored.
     pub fn pong(&mut self, name: &NodeName, pong: &Pong, now: Time) -> AfterPong {
         let Some(peer) = self.peers.get_mut(name) else { return AfterPong::Nothing };
         let Some(at) = peer.pings.iter().position(|(sequence, _)| *sequence == pong.sequence)
--- a/crates/membership/src/relays.rs
+++ b/crates/membership/src/relays.rs
@@ -27,6 +27,17 @@
 
 /// Decides whether the own node is a relay. There is no election: each node ranks the nodes of its
 /// failure domain by itself, and two views that differ only cause a relay too many for a while.
+///
+/// ```
+/// use membership::{RelayRole, Relays};
+/// use model::{FailureDomain, NodeName, Time};
+///
+/// let own: NodeName = "node-1".parse().unwrap();
+/// let domain: FailureDomain = "mid-a".parse().unwrap();
+/// let mut relays = Relays::new(own.clone(), Time::ZERO);
+/// relays.set_members(&domain, [(&own, &domain)]);
+/// assert_eq!(relays.role(Time::ZERO, 0.5, |_| true), RelayRole::Relay);
+/// ```
 #[derive(Debug)]
 pub struct Relays {
     own: NodeName,
