Add rate limits with granted allowances

An account's rate and burst are split into up to six shares, each with a token bucket at the owner of its partition. Entries ask for tokens for half a second of their own demand and spend them call by call.

The owner keeps level + outstanding <= burst in whole billionths of a token, so refill does not drift. Reports of spent tokens are totals per grant, so repeated and reordered reports count once. A partition remembers when it started empty; a bucket is dropped only when it is full, and is created again at the level that an unused bucket would have. Owners check their lease and epoch at each request.

--- /dev/null
+++ b/crates/limits/src/share.rs
@@ -0,0 +1,97 @@
+//! Split of an account's rate and burst into shares, and their placement in partitions.
+
+use std::fmt;
+
+use model::{Account, AccountName, Burst, PartitionId, Rate, stable_hash};
+
+/// Number of partitions of the fleet.
+///
+/// All nodes must agree on it: a node that places a share elsewhere would find a second bucket for
+/// the same share there.
+pub const PARTITIONS: u16 = 256;
+
+/// Largest number of shares of an account.
+pub const SHARES: u8 = 6;
+
+/// Distance between the partitions of consecutive shares. It keeps the shares of an account in
+/// distinct partitions, so a partition holds at most one share of an account.
+const STRIDE: u16 = PARTITIONS / SHARES as u16;
+
+/// Position of a share in its account, from 0 to [`SHARES`] - 1.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+pub struct ShareIndex(u8);
+
+impl ShareIndex {
+    /// Makes an index, or `None` if it is [`SHARES`] or more.
+    pub const fn new(index: u8) -> Option<ShareIndex> {
+        if index < SHARES { Some(ShareIndex(index)) } else { None }
+    }
+
+    /// The index as a number.
+    pub const fn value(self) -> u8 {
+        self.0
+    }
+}
+
+impl fmt::Display for ShareIndex {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+/// A part of an account's rate and burst.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Share {
+    /// Position in the account.
+    pub index: ShareIndex,
+    /// The partition whose owner grants the share's tokens.
+    pub partition: PartitionId,
+    /// Part of the rate.
+    pub rate: Rate,
+    /// Part of the burst, at least 1.
+    pub burst: Burst,
+}
+
+/// Splits the rate and burst of an account. The parts add up to exactly the whole.
+///
+/// A burst below [`SHARES`] uses fewer shares, since each share needs a burst of at least one
+/// token to grant any. A burst of 0 has no shares.
+///
+/// ```
+/// use model::{Account, Burst, Rate};
+///
+/// let account = Account { rate: Rate::per_second(10), burst: Burst(20) };
+/// let name = "acme".parse().unwrap();
+/// let bursts: Vec<u32> = limits::shares(&name, &account).map(|share| share.burst.0).collect();
+/// assert_eq!(bursts, [4, 4, 3, 3, 3, 3]);
+/// ```
+pub fn shares(name: &AccountName, account: &Account) -> impl Iterator<Item = Share> + use<> {
+    let base = base_partition(name);
+    let account = account.clone();
+    (0..SHARES).map_while(move |index| share_at(base, &account, ShareIndex(index)))
+}
+
+/// The partition of an account's first share.
+pub(crate) fn base_partition(name: &AccountName) -> PartitionId {
+    let hash = stable_hash(&[b"limits", name.as_str().as_bytes()]);
+    PartitionId((hash % u64::from(PARTITIONS)) as u16)
+}
+
+/// The share at an index, or `None` if the account has fewer shares.
+pub(crate) fn share_at(base: PartitionId, account: &Account, index: ShareIndex) -> Option<Share> {
+    let count = u32::from(SHARES).min(account.burst.0);
+    let position = u32::from(index.0);
+    if position >= count {
+        return None;
+    }
+    let burst = account.burst.0 / count + u32::from(position < account.burst.0 % count);
+    let rate = account.rate.milli_per_second();
+    let (count, position) = (u64::from(count), u64::from(position));
+    let rate = rate / count + u64::from(position < rate % count);
+    Some(Share {
+        index,
+        partition: PartitionId((base.0 + u16::from(index.0) * STRIDE) % PARTITIONS),
+        rate: Rate::from_milli_per_second(rate),
+        burst: Burst(burst),
+    })
+}
--- /dev/null
+++ b/crates/limits/tests/common/mod.rs
@@ -0,0 +1,398 @@
+//! A small fleet of entries and owners in virtual time, with faults on its links.
+
+use std::time::Duration;
+
+use limits::{
+    Allowances, Arrival, Decision, Handover, Owner, SHARES, TokenAnswer, TokenRequest, shares,
+};
+use model::{Account, AccountName, Burst, Epoch, Incarnation, PartitionId, Rate, Time};
+
+/// Length of a lease, and the wait of a successor for grants to expire.
+const LEASE: Duration = Duration::from_secs(3);
+const EXPIRY: Duration = Duration::from_millis(1200);
+
+/// Real time of one step, in microseconds.
+const STEP: u64 = 5_000;
+
+pub fn account(rate: u32, burst: u32) -> Account {
+    Account { rate: Rate::per_second(rate), burst: Burst(burst) }
+}
+
+pub fn name() -> AccountName {
+    "acme".parse().unwrap()
+}
+
+/// A generator of pseudo-random numbers (splitmix64).
+pub struct Random(pub u64);
+
+impl Random {
+    fn next(&mut self) -> u64 {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mixed = (self.0 ^ (self.0 >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        let mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        mixed ^ (mixed >> 31)
+    }
+
+    pub fn below(&mut self, limit: u64) -> u64 {
+        self.next() % limit
+    }
+
+    fn percent(&mut self, percent: u64) -> bool {
+        self.below(100) < percent
+    }
+}
+
+/// A clock with its own start, up to 5% slower than real time.
+struct Clock {
+    start: u64,
+    speed_ppm: u64,
+}
+
+impl Clock {
+    fn new(random: &mut Random) -> Clock {
+        let speed_ppm = [952_381, 1_000_000, 952_381 + random.below(47_619)];
+        Clock { start: random.below(1 << 40), speed_ppm: speed_ppm[random.below(3) as usize] }
+    }
+
+    fn at(&self, real: u64) -> Time {
+        Time::from_micros(self.start + real * self.speed_ppm / 1_000_000)
+    }
+}
+
+struct OwnerNode {
+    clock: Clock,
+    owner: Owner,
+    account: Account,
+    lease_until: Time,
+    paused_until: u64,
+    /// Another node has claimed the partitions, so the lease is not renewed.
+    superseded: bool,
+}
+
+struct Entry {
+    clock: Clock,
+    allowances: Allowances,
+    waiting: Vec<Time>,
+    /// The node that this entry takes for the owner, and when it looks again.
+    asks: usize,
+    looks_at: u64,
+    calling_until: u64,
+    idle_until: u64,
+    paused_until: u64,
+}
+
+enum Message {
+    Request(TokenRequest),
+    Answer(usize, TokenAnswer),
+    Handover(Box<Handover>),
+    Claim { wait: Duration },
+    Start,
+}
+
+/// Tokens taken of one share, or of the account.
+struct Window {
+    rate_milli: u64,
+    burst_nano: u64,
+    level_nano: u64,
+    at: u64,
+}
+
+impl Window {
+    fn new(rates: [Rate; 2], bursts: [Burst; 2]) -> Window {
+        let rate_milli = rates.iter().map(|rate| rate.milli_per_second()).max().unwrap();
+        let burst = bursts.iter().map(|burst| u64::from(burst.0)).max().unwrap();
+        let burst_nano = burst * 1_000_000_000;
+        Window { rate_milli, burst_nano, level_nano: burst_nano, at: 0 }
+    }
+
+    /// Every window holds at most burst + rate x t tokens if and only if a bucket that starts full
+    /// never runs out.
+    fn take(&mut self, real: u64) -> bool {
+        let refill = self.rate_milli * (real - self.at);
+        self.level_nano = (self.level_nano + refill).min(self.burst_nano);
+        self.at = real;
+        let left = self.level_nano.checked_sub(1_000_000_000);
+        self.level_nano = left.unwrap_or(0);
+        left.is_some()
+    }
+}
+
+/// Which faults occur.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Faults {
+    /// Links lose, repeat and delay messages.
+    Links,
+    /// Also, the owner pauses, crashes or hands over, and the account changes.
+    All,
+}
+
+/// Entries and two owners, the second of which takes over from the first.
+pub struct Fleet {
+    random: Random,
+    real: u64,
+    entries: Vec<Entry>,
+    owners: Vec<OwnerNode>,
+    epoch: u64,
+    messages: Vec<(u64, usize, Message)>,
+    windows: Vec<Window>,
+    taken: u64,
+    accounts: [Account; 2],
+    current: usize,
+}
+
+impl Fleet {
+    pub fn new(seed: u64, entries: u64, accounts: [Account; 2]) -> Fleet {
+        let mut random = Random(seed);
+        let entry = |id| Entry {
+            clock: Clock::new(&mut random),
+            allowances: Allowances::new(Incarnation(id)),
+            waiting: Vec::new(),
+            asks: 0,
+            looks_at: 0,
+            calling_until: 0,
+            idle_until: 0,
+            paused_until: 0,
+        };
+        let entries = (0..entries).map(entry).collect();
+        let node = |_| OwnerNode {
+            clock: Clock::new(&mut random),
+            owner: Owner::new(),
+            account: accounts[0].clone(),
+            lease_until: Time::ZERO,
+            paused_until: 0,
+            superseded: false,
+        };
+        let owners = (0..2).map(node).collect();
+        let [one, two] = &accounts;
+        // The last window is that of the account.
+        let of_share = |index| {
+            let nth = |account| shares(&name(), account).nth(index);
+            let share = nth(one).or(nth(two))?;
+            let [one, two] = [nth(one).unwrap_or(share), nth(two).unwrap_or(share)];
+            Some(Window::new([one.rate, two.rate], [one.burst, two.burst]))
+        };
+        let mut windows: Vec<Window> = (0..usize::from(SHARES)).map_while(of_share).collect();
+        windows.push(Window::new([one.rate, two.rate], [one.burst, two.burst]));
+        let messages = Vec::new();
+        let mut fleet = Fleet {
+            random,
+            real: 0,
+            entries,
+            owners,
+            epoch: 0,
+            messages,
+            windows,
+            taken: 0,
+            accounts,
+            current: 0,
+        };
+        fleet.start(0);
+        fleet
+    }
+
+    /// Runs for some real time under faults. Returns the tokens taken, or `None` as soon as a
+    /// window has more than burst + rate x t.
+    pub fn run(&mut self, seconds: u64, faults: Faults) -> Option<u64> {
+        while self.real < seconds * 1_000_000 {
+            self.real += STEP;
+            if faults == Faults::All && self.random.below(600) == 0 {
+                self.fault();
+            }
+            self.renew();
+            self.deliver();
+            // All entries at once spend what they hold.
+            let spike = if self.random.below(150) == 0 { 40 } else { 0 };
+            for index in 0..self.entries.len() {
+                let calls = self.demand(index, faults) + spike;
+                if self.real >= self.entries[index].paused_until && !self.calls(index, calls) {
+                    return None;
+                }
+            }
+        }
+        Some(self.taken)
+    }
+
+    /// Demand comes in phases, so that entries hold tokens that they do not use.
+    fn demand(&mut self, index: usize, faults: Faults) -> u64 {
+        let holder = self.holder();
+        let (random, entry) = (&mut self.random, &mut self.entries[index]);
+        if self.real >= entry.looks_at {
+            entry.asks = holder;
+            entry.looks_at = self.real + random.below(3_000_000);
+        }
+        if self.real >= entry.idle_until {
+            entry.calling_until = self.real + random.below(500_000);
+            entry.idle_until = entry.calling_until + [50_000, 700_000][random.below(2) as usize];
+            if faults == Faults::All && random.percent(10) {
+                entry.paused_until = self.real + random.below(2_000_000);
+            }
+        }
+        if self.real < entry.calling_until { random.below(4) } else { 0 }
+    }
+
+    fn calls(&mut self, index: usize, calls: u64) -> bool {
+        let entry = &mut self.entries[index];
+        let now = entry.clock.at(self.real);
+        let account = &self.accounts[self.current];
+        let again = std::mem::take(&mut entry.waiting).into_iter();
+        let again = again.map(|until| (until, Arrival::Waited));
+        let new = (0..calls).map(|_| (now + Duration::from_millis(100), Arrival::New));
+        let mut requests = entry.allowances.tick(now);
+        let mut ok = true;
+        for (wait_until, arrival) in again.chain(new) {
+            match entry.allowances.take(now, &name(), account, wait_until, arrival) {
+                Decision::Taken { share, asks } => {
+                    requests.extend(asks);
+                    self.taken += 1;
+                    ok &= self.windows[usize::from(share.value())].take(self.real);
+                    ok &= self.windows.last_mut().unwrap().take(self.real);
+                }
+                Decision::Ask { asks, .. } => {
+                    requests.extend(asks);
+                    entry.waiting.push(wait_until);
+                }
+                Decision::Wait { .. } => entry.waiting.push(wait_until),
+                Decision::Refused { .. } => {}
+            }
+        }
+        self.send(requests);
+        ok
+    }
+
+    fn send(&mut self, requests: Vec<TokenRequest>) {
+        for request in requests {
+            let to = self.entries[request.entry.0 as usize].asks;
+            let copies = [1, 1, 1, 1, 1, 1, 1, 1, 0, 2][self.random.below(10) as usize];
+            for _ in 0..copies {
+                let at = self.real + self.delay();
+                self.messages.push((at, to, Message::Request(request.clone())));
+            }
+        }
+    }
+
+    fn holder(&self) -> usize {
+        usize::from(self.owners[1].owner.partitions().next().is_some())
+    }
+
+    fn delay(&mut self) -> u64 {
+        if self.random.percent(5) {
+            self.random.below(1_800_000)
+        } else {
+            self.random.below(20_000)
+        }
+    }
+
+    fn renew(&mut self) {
+        for node in &mut self.owners {
+            if self.real >= node.paused_until && !node.superseded {
+                node.lease_until = node.clock.at(self.real) + LEASE;
+            }
+        }
+    }
+
+    fn deliver(&mut self) {
+        let (due, later): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.messages).into_iter().partition(|(at, ..)| *at <= self.real);
+        self.messages = later;
+        for (at, to, message) in due {
+            match message {
+                Message::Answer(index, answer) => {
+                    let entry = &mut self.entries[index];
+                    if self.real < entry.paused_until {
+                        self.messages.push((
+                            entry.paused_until,
+                            to,
+                            Message::Answer(index, answer),
+                        ));
+                        continue;
+                    }
+                    let now = entry.clock.at(self.real);
+                    let wake = entry.allowances.answered(now, &answer);
+                    self.send(wake.asks);
+                }
+                _ if self.real < self.owners[to].paused_until => {
+                    let at = at.max(self.owners[to].paused_until);
+                    self.messages.push((at, to, message));
+                }
+                Message::Request(request) => self.request(to, &request),
+                Message::Handover(handover) => {
+                    self.epoch += 1;
+                    let node = &mut self.owners[to];
+                    let now = node.clock.at(self.real);
+                    let again = handover.clone();
+                    node.owner.accept(now, Epoch(self.epoch), *handover).unwrap();
+                    node.owner.accept(now, Epoch(self.epoch), *again).unwrap_err();
+                }
+                Message::Claim { wait } => {
+                    self.owners[1 - to].superseded = true;
+                    let speed = self.owners[to].clock.speed_ppm;
+                    let at = self.real + wait.as_micros() as u64 * 1_000_000 / speed + 1;
+                    self.messages.push((at, to, Message::Start));
+                }
+                Message::Start => self.start(to),
+            }
+        }
+    }
+
+    fn request(&mut self, to: usize, request: &TokenRequest) {
+        let node = &mut self.owners[to];
+        let now = node.clock.at(self.real);
+        let answer = node.owner.request(now, node.lease_until, &node.account, request);
+        node.owner.sweep(now);
+        if let Some(answer) = answer
+            && !self.random.percent(10)
+        {
+            let at = self.real + self.delay();
+            let entry = request.entry.0 as usize;
+            self.messages.push((at, to, Message::Answer(entry, answer)));
+        }
+    }
+
+    fn start(&mut self, to: usize) {
+        self.epoch += 1;
+        let node = &mut self.owners[to];
+        let now = node.clock.at(self.real);
+        for share in shares(&name(), &account(1, 6)) {
+            node.owner.gain(now, share.partition, Epoch(self.epoch)).unwrap();
+        }
+        node.superseded = false;
+    }
+
+    /// The first owner crashes, pauses, hands over, or learns of a change of the account.
+    fn fault(&mut self) {
+        let taken_over = self.epoch > 1 || self.owners[0].superseded;
+        let wait = LEASE + EXPIRY;
+        match self.random.below(4) {
+            0 => {
+                self.current = 1;
+                let account = &self.accounts[1];
+                for node in &mut self.owners {
+                    node.account = account.clone();
+                    node.owner.reconfigure(node.clock.at(self.real), &name(), account);
+                }
+            }
+            1 if !taken_over => {
+                self.owners[0].owner = Owner::new();
+                self.owners[0].superseded = true;
+                self.messages.push((self.real + 2_000_000, 1, Message::Claim { wait }));
+            }
+            2 if !taken_over => {
+                // The owner may resume with a valid lease, or after its successor has started.
+                self.owners[0].paused_until = self.real + self.random.below(9_000_000);
+                self.messages.push((self.real + 2_000_000, 1, Message::Claim { wait }));
+            }
+            3 if !taken_over => {
+                let now = self.owners[0].clock.at(self.real);
+                let owner = &mut self.owners[0].owner;
+                let held: Vec<PartitionId> = owner.partitions().collect();
+                for partition in held {
+                    let handover = owner.hand_over(now, partition).unwrap();
+                    let at = self.real + 20_000;
+                    self.messages.push((at, 1, Message::Handover(Box::new(handover))));
+                }
+                self.owners[0].superseded = true;
+            }
+            _ => {}
+        }
+    }
+}
