Require mostly slow slices before a latency ejection

All false ejections of the healthy week were upstreams that paused for 250 ms: a pause touches two slices of 500 ms, and one slow call of ordinary noise made the third. A slice now counts only if at least half of its calls were slow, and two slices no longer suffice when every call is slow. A tick also ends before any comparison if no endpoint has 3 bad calls.

--- a/crates/health/src/arbiter.rs
+++ b/crates/health/src/arbiter.rs
@@ -40,8 +40,8 @@
 /// Fewest calls of the peers that give a reference.
 const MIN_PEER_CALLS: u64 = 10;
 
-/// Fewest slices with a bad call. A pause of an upstream for a few hundred milliseconds makes many
-/// calls slow at once, but touches at most two slices.
+/// Fewest slices with a failed call, or in which most calls were slow. A pause of an upstream for
+/// a few hundred milliseconds makes many calls slow at once, but touches at most two slices.
 const MIN_BAD_SLICES: usize = 3;
 
 /// Least difference between the shares of failed calls.
@@ -292,6 +292,9 @@
 }
 
 impl Arbiter {
+    /// Bytes of state for each endpoint of a route, without the names and the tree nodes.
+    pub const BYTES_PER_ENDPOINT: usize = size_of::<Cell>() + size_of::<RouteEndpoint>();
+
     /// Makes the arbiter of a service whose partition this node took over. `now` is the time at
     /// which a majority has confirmed the new epoch.
     pub fn new(epoch: Epoch, now: Time) -> Arbiter {
@@ -712,18 +715,9 @@
 
     fn findings(&self, now: Time) -> BTreeMap<EndpointName, Finding> {
         let mut findings = BTreeMap::new();
-        for span in SPANS {
-            let group: Vec<Member<'_>> = self.group(span, now);
-            for at in 0..group.len() {
-                let name = group[at].name;
-                if !group[at].judged || findings.contains_key(name) {
-                    continue;
-                }
-                if let Some(finding) = failure_finding(&group, at) {
-                    findings.insert(name.clone(), finding);
-                } else if let Some(finding) = latency_finding(&group, at) {
-                    findings.insert(name.clone(), finding);
-                }
+        if has_suspects(&self.group(SLICES, now)) {
+            for span in SPANS {
+                add_outliers(&self.group(span, now), &mut findings);
             }
         }
         self.add_relapses(now, &mut findings);
@@ -743,8 +737,7 @@
             let totals = cell.window.totals(span);
             let warm = cell.ready_since.is_none_or(|since| now.since(since) >= WARM_UP);
             let median = totals.median_bucket();
-            let judged = totals.calls() > 0;
-            group.push(Member { name: &endpoint.name, cell, totals, median, warm, judged });
+            group.push(Member { name: &endpoint.name, cell, totals, median, warm });
         }
         group
     }
@@ -825,7 +818,29 @@
     totals: Totals,
     median: usize,
     warm: bool,
-    judged: bool,
+}
+
+/// Compares each endpoint with the others.
+fn add_outliers(group: &[Member<'_>], findings: &mut BTreeMap<EndpointName, Finding>) {
+    for at in 0..group.len() {
+        let name = group[at].name;
+        if findings.contains_key(name) {
+            continue;
+        }
+        let finding = failure_finding(group, at).or_else(|| latency_finding(group, at));
+        findings.extend(finding.map(|finding| (name.clone(), finding)));
+    }
+}
+
+/// Tells whether any endpoint has enough bad calls in the whole window to be compared at all.
+/// Most ticks end here. The lowest median is at most the reference of any endpoint.
+fn has_suspects(group: &[Member<'_>]) -> bool {
+    let with_calls = group.iter().filter(|member| member.totals.successes > 0);
+    let lowest = with_calls.map(|member| member.median).min().unwrap_or(0);
+    let slow_from = lowest + SLOW_BUCKETS;
+    group.iter().any(|member| {
+        member.totals.failures >= MIN_BAD || member.totals.at_least(slow_from) >= MIN_BAD
+    })
 }
 
 /// Compares the failures of an endpoint with the better half of its peers, so that a few sick
@@ -885,9 +900,7 @@
     if slow < MIN_BAD {
         return None;
     }
-    let slices = member.cell.window.slices_at_least(slow_from);
-    let all_slow = slow == member.totals.successes && slices >= 2;
-    if slices < MIN_BAD_SLICES && !all_slow {
+    if member.cell.window.slow_slices(slow_from) < MIN_BAD_SLICES {
         return None;
     }
     let peer_calls: u64 = others(group, at).map(|m| m.totals.successes).sum();
--- a/crates/health/src/window.rs
+++ b/crates/health/src/window.rs
@@ -107,10 +107,14 @@
         self.slices.iter().filter(|slice| slice.failures > 0).count()
     }
 
-    /// Slices that hold a successful call in `bucket` or above.
-    pub fn slices_at_least(&self, bucket: usize) -> usize {
-        let slow = |slice: &&Slice| slice.successes.iter().skip(bucket).any(|&count| count > 0);
-        self.slices.iter().filter(slow).count()
+    /// Slices in which at least half of the successful calls are in `bucket` or above.
+    pub fn slow_slices(&self, bucket: usize) -> usize {
+        let is_slow = |slice: &&Slice| {
+            let sum = |counts: &[u16]| counts.iter().map(|&count| u64::from(count)).sum::<u64>();
+            let slow = sum(&slice.successes[bucket.min(BUCKETS)..]);
+            slow > 0 && slow * 2 >= sum(&slice.successes)
+        };
+        self.slices.iter().filter(is_slow).count()
     }
 
     fn recent(&self, count: usize) -> impl Iterator<Item = &Slice> {
