Trust load reports only as long as the calls in them run

The expected wait took reports of up to 1 s as current and compared the service times of single endpoints. A report now raises the expected wait above what goes with the mean use of the candidates, fades within the service time, and never lowers it; the mean use and the mean service time are those of all candidates.

The targets are still missed: an entry can't know which endpoint has a free slot, only the guard can.

--- a/crates/routing/src/balancer.rs
+++ b/crates/routing/src/balancer.rs
@@ -179,11 +179,12 @@
                 && !tried.contains(candidate.endpoint)
         };
         let indexes = self.sample(candidates, &is_eligible, random);
+        let usual = Usual::of(indexes.iter().map(|&index| candidates.candidate(index)));
         let mut best = Best::default();
         let mut reduced = Best::default();
         for &index in &indexes {
             let candidate = candidates.candidate(index);
-            let cost = self.cost(&candidate);
+            let cost = self.cost(&candidate, &usual);
             if candidate.weight >= 100 || random.below(100) < usize::from(candidate.weight) {
                 best.offer(index, cost, random);
             } else {
@@ -204,7 +205,7 @@
             index: winner,
             endpoint: candidate.endpoint.clone(),
             reason,
-            cost: self.cost(&candidate),
+            cost: self.cost(&candidate, &usual),
             considered: indexes.len(),
         })
     }
@@ -233,25 +234,63 @@
         drawn
     }
 
-    fn cost(&self, candidate: &Candidate<'_>) -> Duration {
+    fn cost(&self, candidate: &Candidate<'_>, usual: &Usual) -> Duration {
         let domain_penalty = match *candidate.domain == self.domain {
             true => Duration::ZERO,
             false => self.params.domain_penalty,
         };
-        expected_wait(candidate) + domain_penalty + candidate.path_penalty
+        expected_wait(candidate, usual) + domain_penalty + candidate.path_penalty
     }
 }
 
-/// Time that a call would wait for a slot, from the last report and the calls sent since.
-fn expected_wait(candidate: &Candidate<'_>) -> Duration {
+/// Time that a call would wait for a slot. The calls in a report end within a few service times,
+/// so an old report counts less than the wait that goes with the mean use of the candidates. A
+/// report raises the expected wait and never lowers it: heartbeats reach all entries at the same
+/// time, and all of them would send to the endpoint that has just reported a free slot.
+fn expected_wait(candidate: &Candidate<'_>, usual: &Usual) -> Duration {
     let slots = f64::from(candidate.slots.0);
-    let (busy, service) = match candidate.load {
-        None => (0.0, UNKNOWN_SERVICE),
-        Some(KnownLoad { report, sent_since, .. }) => {
-            (f64::from(report.running + report.queued + sent_since), report.mean_service)
-        }
+    let usual_wait = usual.wait(slots);
+    let Some(KnownLoad { report, age, sent_since }) = candidate.load else {
+        return usual_wait;
     };
-    service.mul_f64((busy + 1.0 - slots).max(0.0) / slots)
+    let service = report.mean_service;
+    let ages = age.as_secs_f64() / service.as_secs_f64().max(1e-6);
+    let reported = f64::from(report.running + report.queued) * (-ages).exp();
+    let busy = reported + f64::from(sent_since);
+    usual_wait.max(service.mul_f64((busy + 1.0 - slots).max(0.0) / slots))
+}
+
+/// Use and service time over all candidates. Those of a single endpoint vary by chance, and all
+/// entries would send to the one with the lowest figure.
+#[derive(Debug)]
+struct Usual {
+    /// Share of the slots in use at the last reports.
+    share: f64,
+    mean_service: Duration,
+}
+
+impl Usual {
+    fn of<'a>(candidates: impl Iterator<Item = Candidate<'a>>) -> Usual {
+        let (mut running, mut slots, mut reports) = (0u32, 0u32, 0u32);
+        let mut service = Duration::ZERO;
+        for KnownLoad { report, .. } in candidates.filter_map(|candidate| candidate.load) {
+            running += report.running;
+            slots += report.slots.0;
+            service += report.mean_service;
+            reports += 1;
+        }
+        let share = f64::from(running) / f64::from(slots.max(1));
+        let mean_service = service.checked_div(reports).unwrap_or(UNKNOWN_SERVICE);
+        Usual { share, mean_service }
+    }
+
+    /// Mean wait at an endpoint with this many slots (Sakasegawa's approximation). The share is
+    /// capped, as the wait grows without bound near 1.
+    fn wait(&self, slots: f64) -> Duration {
+        let share = self.share.clamp(0.0, 0.95);
+        let waits = share.powf((2.0 * (slots + 1.0)).sqrt() - 1.0) / (slots * (1.0 - share));
+        self.mean_service.mul_f64(waits)
+    }
 }
 
 /// The least cost so far; each of several equal ones is equally likely to be kept.
