Let a call leave a busy endpoint at once for another one

Only the guard knows whether a slot is free. An attempt now says how long it may wait (Patience); a guard that would have it wait longer refuses at once, with its load, and the entry tries another endpoint. The last attempt of a call waits, and so does one whose body can't be sent again. These refusals count as attempts, so a call still has at most 2 further ones; they are not charged to the retry budget, since nothing reached the upstream.

--- a/crates/admission/src/guard.rs
+++ b/crates/admission/src/guard.rs
@@ -1,6 +1,7 @@
 //! Decides for each attempt whether it starts, waits or is refused.
 
 use std::collections::{BTreeMap, HashMap, HashSet};
+use std::time::Duration;
 
 use model::{
     AccountName, AttemptId, EndpointName, EndpointState, LoadReport, ResultCode, RouteName, Slots,
@@ -27,6 +28,17 @@
     pub account: Option<AccountName>,
     /// Latest start, in the time of this guard.
     pub start_by: Time,
+    /// How long the attempt may wait for a slot.
+    pub patience: Patience,
+}
+
+/// How long an attempt may wait for a slot before the entry would rather try another endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Patience {
+    /// Until its start-by deadline.
+    UntilStartBy,
+    /// It is refused at once if the expected wait is longer.
+    AtMost(Duration),
 }
 
 /// Result of the checks that need the configuration or the lease.
@@ -130,7 +142,7 @@
 /// The guard before the endpoints of one node.
 ///
 /// ```
-/// use admission::{Attempt, Check, Decision, Guard, GuardLimits};
+/// use admission::{Attempt, Check, Decision, Guard, GuardLimits, Patience};
 /// use model::{AttemptId, EndpointState, Incarnation, Slots, Time};
 /// use std::time::Duration;
 ///
@@ -142,7 +154,8 @@
 /// let id = AttemptId { entry: Incarnation(1), sequence: 1 };
 /// let route = "orders".parse().unwrap();
 /// let start_by = now + Duration::from_secs(1);
-/// let attempt = Attempt { id, endpoint, route, account: None, start_by };
+/// let patience = Patience::UntilStartBy;
+/// let attempt = Attempt { id, endpoint, route, account: None, start_by, patience };
 /// let verdicts = guard.arrive(attempt, now, &allow);
 /// assert_eq!(verdicts[0].decision, Decision::Start);
 /// ```
@@ -389,6 +402,12 @@
             self.active.insert(id, active);
             return vec![verdict(Decision::Start)];
         }
+        if let Patience::AtMost(wait) = attempt.patience
+            && queue.load().expected_wait() > wait
+        {
+            self.ledger.record(id, State::Refused(ResultCode::QueueFull), start_by);
+            return vec![verdict(Decision::Refuse(ResultCode::QueueFull))];
+        }
         let capacity = queue.slots.0 * self.limits.queue_per_slot;
         let mut verdicts = vec![verdict(Decision::Queued)];
         match queue.enqueue(attempt, capacity, now) {
--- a/crates/admission/tests/attempts.rs
+++ b/crates/admission/tests/attempts.rs
@@ -14,7 +14,7 @@
 use std::collections::{BinaryHeap, HashMap};
 use std::time::Duration;
 
-use admission::{Attempt, Check, Decision, FenceAnswer, Guard, GuardLimits, Verdict};
+use admission::{Attempt, Check, Decision, FenceAnswer, Guard, GuardLimits, Patience, Verdict};
 use model::{
     AttemptId, EndpointName, EndpointState, Incarnation, Percent, ResultCode, Slots, Time,
 };
@@ -212,7 +212,14 @@
                 let target = &mut self.processes[process];
                 target.calls.insert(id, (call, start_by));
                 let route = "orders".parse().unwrap();
-                let attempt = Attempt { id, endpoint: endpoint(), route, account: None, start_by };
+                let attempt = Attempt {
+                    id,
+                    endpoint: endpoint(),
+                    route,
+                    account: None,
+                    start_by,
+                    patience: Patience::UntilStartBy,
+                };
                 let verdicts = target.guard.arrive(attempt, now, &allow);
                 self.carry_out(process, verdicts);
             }
--- a/crates/admission/tests/guard.rs
+++ b/crates/admission/tests/guard.rs
@@ -1,10 +1,11 @@
 //! Rules of the guard, checked against random sequences of events.
 
 use std::collections::{HashMap, HashSet};
+use std::time::Duration;
 
 use admission::{
-    Attempt, Cancelled, Check, Checks, Decision, Drain, FenceAnswer, Guard, GuardLimits, StopState,
-    Verdict,
+    Attempt, Cancelled, Check, Checks, Decision, Drain, FenceAnswer, Guard, GuardLimits, Patience,
+    StopState, Verdict,
 };
 use model::{
     AccountName, AttemptId, EndpointName, EndpointState, Incarnation, ResultCode, Slots, Time,
@@ -30,7 +31,8 @@
     let account: Option<AccountName> = account.parse().ok();
     let route = "orders".parse().unwrap();
     let start_by = ms(start_by);
-    Attempt { id: id(sequence), endpoint: endpoint(0), route, account, start_by }
+    let patience = Patience::UntilStartBy;
+    Attempt { id: id(sequence), endpoint: endpoint(0), route, account, start_by, patience }
 }
 
 fn allow(_: &Attempt) -> Check {
@@ -122,6 +124,9 @@
                 // A copy of an attempt differs in nothing from the first one.
                 let mut new = attempt(sequence, "acme", self.now + start_by);
                 new.endpoint = endpoint(number);
+                if sequence % 3 == 0 {
+                    new.patience = Patience::AtMost(Duration::ZERO);
+                }
                 let attempt = self.attempts.entry(new.id).or_insert(new).clone();
                 self.guard.arrive(attempt, now, checks)
             }
@@ -290,3 +295,18 @@
     guard.finish(id(0), ms(7000), &allow);
     assert_eq!(guard.ledger_len(), 0);
 }
+
+/// Guards against queueing a call that would rather go elsewhere, and against refusing it while a
+/// slot is free.
+#[test]
+fn an_impatient_attempt_starts_or_is_refused_at_once() {
+    let mut guard = ready_guard(1);
+    let impatient = |sequence| Attempt {
+        patience: Patience::AtMost(Duration::from_millis(3)),
+        ..attempt(sequence, "a", 60_000)
+    };
+    assert_eq!(guard.arrive(impatient(0), ms(0), &allow)[0].decision, Decision::Start);
+    let refused = Decision::Refuse(ResultCode::QueueFull);
+    assert_eq!(guard.arrive(impatient(1), ms(0), &allow)[0].decision, refused);
+    assert!(started(&guard.finish(id(0), ms(50), &allow)).is_empty());
+}
--- a/crates/routing/src/retry.rs
+++ b/crates/routing/src/retry.rs
@@ -57,6 +57,8 @@
         /// Whether the refusal proves that the attempt did not run.
         evidence: Evidence,
     },
+    /// The guard refused an impatient attempt at once, since it would have had to wait.
+    Busy,
     /// The outcome is unknown, and no byte of an answer has gone to the caller.
     Unknown {
         /// What happened, from the 2xxx group.
@@ -89,6 +91,15 @@
     UnknownToCaller(ResultCode),
 }
 
+/// What an attempt asks of a guard whose slots are all in use.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum WhenBusy {
+    /// Refuse at once with the current load, as [`AttemptEnd::Busy`].
+    GoElsewhere,
+    /// Queue the attempt.
+    Wait,
+}
+
 /// What the retry policy needs to know of a call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct CallKind {
@@ -136,6 +147,15 @@
         self.ended
     }
 
+    /// Whether the next attempt should wait at a busy endpoint or rather go to another one. The
+    /// last attempt waits, and so does one whose body can't be sent again.
+    pub fn when_busy(&self, body: Body) -> WhenBusy {
+        match body == Body::Replayable && self.ended + 1 < MAX_ATTEMPTS {
+            true => WhenBusy::GoElsewhere,
+            false => WhenBusy::Wait,
+        }
+    }
+
     /// Decides what follows the end of an attempt.
     pub fn next(
         &mut self,
@@ -147,6 +167,14 @@
         match end {
             AttemptEnd::AnsweredWhole => Next::Answer,
             AttemptEnd::AnswerCut { code } => Next::UnknownToCaller(code),
+            // Nothing reached the upstream, so the retry can't add to its load and is not charged.
+            AttemptEnd::Busy => {
+                self.ended += 1;
+                match self.has_attempt_left(body, now) {
+                    true => Next::RetryElsewhere,
+                    false => self.settle(ResultCode::QueueFull),
+                }
+            }
             AttemptEnd::Refused { code, evidence: Evidence::NotRun } => {
                 self.ended += 1;
                 self.after_not_run(code, body, budget, now)
@@ -213,10 +241,11 @@
 
     /// The budget is asked last, so that only retries that are made are charged.
     fn may_retry(&self, body: Body, budget: &mut RetryBudget, now: Time) -> bool {
-        self.ended < MAX_ATTEMPTS
-            && now < self.kind.deadline
-            && body == Body::Replayable
-            && budget.request_retry(now) == Grant::Granted
+        self.has_attempt_left(body, now) && budget.request_retry(now) == Grant::Granted
+    }
+
+    fn has_attempt_left(&self, body: Body, now: Time) -> bool {
+        self.ended < MAX_ATTEMPTS && now < self.kind.deadline && body == Body::Replayable
     }
 
     fn settle(&self, code: ResultCode) -> Next {
--- a/crates/routing/tests/calls.rs
+++ b/crates/routing/tests/calls.rs
@@ -7,7 +7,7 @@
 use proptest::test_runner::RngSeed;
 use routing::{
     AttemptEnd, Body, CallAttempts, CallKind, Evidence, FenceResult, Grant, GuardClock,
-    Idempotence, Next, RetryBudget, refusal_evidence,
+    Idempotence, Next, RetryBudget, WhenBusy, refusal_evidence,
 };
 
 const NOT_RUN: AttemptEnd =
@@ -76,6 +76,25 @@
     check(idempotent, Body::Replayable, &[(cut, 1, lost)]);
 }
 
+/// Guards against a call that finds all slots in use and never waits, or waits at the first
+/// endpoint though another one may have a free slot.
+#[test]
+fn a_busy_endpoint_is_left_while_attempts_remain() {
+    let retry = Next::RetryElsewhere;
+    let busy = AttemptEnd::Busy;
+    check(Idempotence::NonIdempotent, Body::Replayable, &[(busy, 1, retry), (busy, 2, retry)]);
+    let deadline = ms(1000);
+    let mut attempts =
+        CallAttempts::new(CallKind { idempotence: Idempotence::NonIdempotent, deadline });
+    let mut budget = RetryBudget::new(Percent::new(0).unwrap());
+    let expected = [WhenBusy::GoElsewhere, WhenBusy::GoElsewhere, WhenBusy::Wait];
+    for when_busy in expected {
+        assert_eq!(attempts.when_busy(Body::Replayable), when_busy);
+        assert_eq!(attempts.when_busy(Body::Consumed), WhenBusy::Wait);
+        attempts.next(busy, Body::Replayable, &mut budget, ms(1));
+    }
+}
+
 /// Guards against evidence from a process that never had the attempt.
 #[test]
 fn only_the_same_process_gives_evidence() {
--- a/xtask/src/measure/calls.rs
+++ b/xtask/src/measure/calls.rs
@@ -7,7 +7,7 @@
 use std::collections::BinaryHeap;
 use std::time::Duration;
 
-use admission::{Attempt, Check, Decision, Guard, GuardLimits, Verdict};
+use admission::{Attempt, Check, Decision, Guard, GuardLimits, Patience, Verdict};
 use eyre::Result;
 use model::{
     AccountName, AttemptId, EndpointName, EndpointState, FailureDomain, Incarnation, LoadReport,
@@ -16,7 +16,7 @@
 use routing::{
     AttemptEnd, Balancer, BalancerParams, Body, CallAttempts, CallKind, Candidate, Candidates,
     Evidence, FenceResult, Idempotence, LoadView, Next, RandomSource, RetryBudget, SplitMix64,
-    Stage,
+    Stage, WhenBusy,
 };
 
 /// Slots of every endpoint.
@@ -29,6 +29,9 @@
 /// One-way latency between nodes of one failure domain.
 const HOP_INSIDE: Duration = Duration::from_micros(100);
 
+/// Expected wait above which a call rather goes to another endpoint: about a round trip there.
+const PATIENCE: Duration = Duration::from_millis(3);
+
 /// Calls that arrive earlier are not counted.
 const WARM_UP: Duration = Duration::from_secs(5);
 
@@ -280,6 +283,7 @@
     call: usize,
     node: usize,
     sent_at: Time,
+    patience: Patience,
 }
 
 struct Sim<'a> {
@@ -422,7 +426,7 @@
                 self.send(call, now);
             }
             Event::AtGuard { attempt } => {
-                let SentAttempt { call, node, .. } = self.sent[attempt];
+                let SentAttempt { call, node, patience, .. } = self.sent[attempt];
                 let account = match self.queue {
                     QueueOrder::Fair => Some(self.accounts[self.calls[call].account].clone()),
                     // With a single account the queue is first come, first served.
@@ -434,6 +438,7 @@
                     route: self.route.clone(),
                     account,
                     start_by: self.calls[call].arrived_at + timeout,
+                    patience,
                 };
                 let verdicts = self.nodes[node].guard.arrive(attempt, now, &allow);
                 self.carry_out(verdicts, now);
@@ -456,12 +461,15 @@
                 self.calls[call].answered_at = Some(now);
             }
             Event::Refused { attempt, code } => {
-                let SentAttempt { call, node, .. } = self.sent[attempt];
+                let SentAttempt { call, node, patience, .. } = self.sent[attempt];
                 let report = self.load(node);
                 self.ended(attempt, report, now);
                 let Call { entry, service, .. } = self.calls[call];
                 let budget = &mut self.entries[entry].budgets[service];
-                let end = AttemptEnd::Refused { code, evidence: Evidence::NotRun };
+                let end = match patience {
+                    Patience::AtMost(_) if code == ResultCode::QueueFull => AttemptEnd::Busy,
+                    _ => AttemptEnd::Refused { code, evidence: Evidence::NotRun },
+                };
                 let next = self.calls[call].attempts.next(end, Body::Replayable, budget, now);
                 if next == Next::RetryElsewhere {
                     self.send(call, now);
@@ -494,7 +502,7 @@
 
     /// Takes the end of an attempt, whose answer or refusal carries the load.
     fn ended(&mut self, attempt: usize, report: LoadReport, now: Time) {
-        let SentAttempt { call, node, sent_at } = self.sent[attempt];
+        let SentAttempt { call, node, sent_at, .. } = self.sent[attempt];
         let entry = self.calls[call].entry;
         let round_trip = self.hop(entry, node) * 2;
         let view = &mut self.entries[entry].views[node];
@@ -526,7 +534,11 @@
         let entry = self.calls[call].entry;
         self.calls[call].tried.push(self.nodes[node].endpoint.clone());
         self.entries[entry].views[node].sent(now);
-        self.sent.push(SentAttempt { call, node, sent_at: now });
+        let patience = match self.calls[call].attempts.when_busy(Body::Replayable) {
+            WhenBusy::GoElsewhere if self.policy == Policy::LeastWait => Patience::AtMost(PATIENCE),
+            _ => Patience::UntilStartBy,
+        };
+        self.sent.push(SentAttempt { call, node, sent_at: now, patience });
         let attempt = self.sent.len() - 1;
         self.at(now + self.hop(entry, node), Event::AtGuard { attempt });
     }
