Let the entry say how long an attempt may wait, and serve the whole path

The guard core refuses at once when the expected wait is longer than the patience of the attempt; the frame of a call now carries it.

--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -4,9 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use caller::{
-    CallerHandler, CallerRequest, PendingAnswer, PresentedKey, error_answer,
-};
+use caller::{CallerHandler, CallerRequest, PendingAnswer, PresentedKey, error_answer};
 use config::RouteEntry;
 use hyper::http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode, header};
 use membership::EndpointEntry;
@@ -18,7 +16,7 @@
 use peer::{CallAnswer, CallError, CallReply, Target};
 use routing::{
     AttemptEnd, Balancer, BalancerParams, Body, CallAttempts, CallKind, Candidate, Choice,
-    Evidence, FenceResult, Idempotence, Next, Stage, refusal_evidence,
+    Evidence, FenceResult, Idempotence, Next, PATIENCE, Stage, WhenBusy, refusal_evidence,
 };
 use tokio::time::{timeout, timeout_at};
 use wire::{BodyPart, Call, Head, Header, MAX_CHUNK_BYTES};
@@ -166,10 +164,17 @@
         account: identity.map(|(account, key, _)| (account, key)),
         revision,
         request: req.id,
-        head: forwarded_head(&req.method, &req.target, &req.headers, replay.as_ref(), req.body_length),
+        head: forwarded_head(
+            &req.method,
+            &req.target,
+            &req.headers,
+            replay.as_ref(),
+            req.body_length,
+        ),
         body,
         replay,
         tried: Vec::new(),
+        busy: Vec::new(),
         trace,
     };
     run.attempts().await
@@ -250,6 +255,8 @@
     body: Payload,
     replay: Option<Bytes>,
     tried: Vec<EndpointName>,
+    /// Endpoints that had no free slot; they are tried again only when no other is left.
+    busy: Vec<EndpointName>,
     trace: &'a mut Trace,
 }
 
@@ -274,7 +281,7 @@
         let kind = CallKind { idempotence: self.idempotence, deadline: self.deadline };
         let mut attempts = CallAttempts::new(kind);
         loop {
-            let Some((choice, entry)) = self.choose() else {
+            let Some((choice, entry, patience)) = self.choose(&attempts) else {
                 // Where endpoints refused before, their reason says more than that none is left.
                 let code = match self.trace.record.attempts.is_empty() {
                     true => ResultCode::NoUpstream,
@@ -283,7 +290,12 @@
                 return Err(final_code(attempts.give_up(code)));
             };
             let started = self.node.now();
-            let made = self.attempt(&entry).await;
+            let mut made = self.attempt(&entry, patience).await;
+            if let (Some(_), Err(AttemptEnd::Refused { code: ResultCode::QueueFull, .. })) =
+                (patience, &made.result)
+            {
+                made.result = Err(AttemptEnd::Busy);
+            }
             let now = self.node.now();
             let end = match &made.result {
                 Ok(answer) => {
@@ -299,7 +311,10 @@
             };
             self.record(&choice, &entry, describe(end));
             self.node.loads.ended(&entry.name, path_end(end), now);
-            self.tried.push(entry.name.clone());
+            match end {
+                AttemptEnd::Busy => self.busy.push(entry.name.clone()),
+                _ => self.tried.push(entry.name.clone()),
+            }
             let mut next = self.next(&mut attempts, end);
             if next == Next::FenceThenDecide {
                 let result = self.fence(&made).await;
@@ -315,18 +330,36 @@
         }
     }
 
-    fn next(&self, attempts: &mut CallAttempts, end: AttemptEnd) -> Next {
-        let body = match &self.replay {
+    fn replayable(&self) -> Body {
+        match &self.replay {
             Some(_) => Body::Replayable,
             None => Body::Consumed,
-        };
+        }
+    }
+
+    fn next(&self, attempts: &mut CallAttempts, end: AttemptEnd) -> Next {
+        let body = self.replayable();
         let now = self.node.now();
         let share = self.route.policy().retry_budget;
         let decide = |budget: &mut _| attempts.next(end, body, budget, now);
         self.node.budgets.with(self.route.name(), share, decide)
     }
 
-    fn choose(&self) -> Option<(Choice, EndpointEntry)> {
+    /// Chooses an endpoint and how long the attempt may wait there.
+    fn choose(&self, attempts: &CallAttempts) -> Option<(Choice, EndpointEntry, Option<Duration>)> {
+        let patience = match attempts.when_busy(self.replayable()) {
+            WhenBusy::GoElsewhere => Some(PATIENCE),
+            WhenBusy::Wait => None,
+        };
+        let avoided = [&self.tried[..], &self.busy].concat();
+        if let Some((choice, entry)) = self.choose_among(&avoided) {
+            return Some((choice, entry, patience));
+        }
+        let (choice, entry) = self.choose_among(&self.tried)?;
+        Some((choice, entry, None))
+    }
+
+    fn choose_among(&self, avoided: &[EndpointName]) -> Option<(Choice, EndpointEntry)> {
         let now = self.node.now();
         let policy = self.route.policy();
         let entries: Vec<EndpointEntry> = {
@@ -358,37 +391,35 @@
             })
             .collect();
         let mut random = lock(&self.node.random);
-        let choice =
-            self.balancer.choose(&candidates, &self.tried, self.idempotence, &mut *random)?;
+        let choice = self.balancer.choose(&candidates, avoided, self.idempotence, &mut *random)?;
         let entry = entries[choice.index].clone();
         Some((choice, entry))
     }
 
-    async fn attempt(&mut self, entry: &EndpointEntry) -> Made {
+    async fn attempt(&mut self, entry: &EndpointEntry, patience: Option<Duration>) -> Made {
         let node = self.node;
         let attempt = node.next_attempt();
         let now = node.now();
         node.loads.sent(&entry.name, now);
         if *entry.node == node.info().node {
-            let call = self.call(attempt, entry, self.deadline);
+            let call = self.call(attempt, entry, self.deadline, patience);
             let body = self.take_body();
-            let reply = timeout_at(
-                node.clock.instant(self.deadline),
-                guard::serve(node, call, body),
-            );
+            let reply =
+                timeout_at(node.clock.instant(self.deadline), guard::serve(node, call, body));
             let result = match reply.await {
                 Ok(reply) => from_reply(reply),
                 Err(_) => Err(AttemptEnd::Unknown { code: ResultCode::DeadlineAfterStart }),
             };
             return Made { attempt, start_by: self.deadline, place: Place::Local, result };
         }
-        self.attempt_remote(attempt, entry, now).await
+        self.attempt_remote(attempt, entry, patience, now).await
     }
 
     async fn attempt_remote(
         &mut self,
         attempt: AttemptId,
         entry: &EndpointEntry,
+        patience: Option<Duration>,
         now: Time,
     ) -> Made {
         let not_sent = |code, place| Made {
@@ -407,7 +438,7 @@
             Ok(_) => return not_sent(ResultCode::LinkUnavailable, Place::Local),
             Err(code) => return not_sent(code, Place::Local),
         };
-        let call = self.call(attempt, entry, start_by);
+        let call = self.call(attempt, entry, start_by, patience);
         let body = self.take_body();
         let result = self.send(target, call, body).await;
         Made { attempt, start_by, place: Place::Remote(peer, target.incarnation), result }
@@ -457,7 +488,13 @@
         }
     }
 
-    fn call(&self, attempt: AttemptId, entry: &EndpointEntry, start_by: Time) -> Call {
+    fn call(
+        &self,
+        attempt: AttemptId,
+        entry: &EndpointEntry,
+        start_by: Time,
+        patience: Option<Duration>,
+    ) -> Call {
         let body = match &self.replay {
             Some(bytes) if bytes.len() <= MAX_CHUNK_BYTES => {
                 BodyPart { bytes: bytes.to_vec(), last: true }
@@ -471,6 +508,7 @@
             route: self.name.clone(),
             account: self.account.clone(),
             start_by,
+            patience,
             revision: self.revision,
             head: self.head.clone(),
             body,
@@ -538,8 +576,7 @@
 
 fn to_response(answer: CallAnswer) -> Response<Payload> {
     let mut response = Response::new(answer.body);
-    *response.status_mut() =
-        StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
     let headers = response.headers_mut();
     for header in answer.headers {
         let name = HeaderName::from_bytes(header.name.as_bytes());
--- a/crates/node/src/guard.rs
+++ b/crates/node/src/guard.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use admission::{
-    Attempt, Cancelled, Check, Checks, Decision, Drain, FenceAnswer, Guard, GuardLimits,
+    Attempt, Cancelled, Check, Checks, Decision, Drain, FenceAnswer, Guard, GuardLimits, Patience,
     StopState, Verdict,
 };
 use config::Replica;
@@ -260,6 +260,7 @@
         route: call.route.clone(),
         account: call.account.as_ref().map(|(account, _)| account.clone()),
         start_by: call.start_by,
+        patience: call.patience.map_or(Patience::UntilStartBy, Patience::AtMost),
     };
     let mut state = lock(&node.guard.state);
     // A repeated frame must not disturb the attempt that it repeats.
--- a/crates/node/src/health.rs
+++ b/crates/node/src/health.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use health::{
-    Action, Arbiter, Availability, CallResult, Decision, Ejections, EjectionList, HeldEjection,
+    Action, Arbiter, Availability, CallResult, Decision, EjectionList, Ejections, HeldEjection,
     ProbeResult, QuorumLease, Recorder, RouteEndpoint, RouteView, Weight,
 };
 use hyper::http::Request;
@@ -127,8 +127,7 @@
             arbiter.adopt(held, now);
         }
         for ProbeReport { probe, result } in update.probed {
-            if let Some(decision) =
-                arbiter.probe_result(&probe.route, &probe.endpoint, result, now)
+            if let Some(decision) = arbiter.probe_result(&probe.route, &probe.endpoint, result, now)
             {
                 log_decision(&decision);
             }
@@ -281,8 +280,7 @@
     if *since == Time::NEVER {
         *since = now;
     }
-    let arbiter =
-        services.entry(service.clone()).or_insert_with(|| Arbiter::new(*epoch, *since));
+    let arbiter = services.entry(service.clone()).or_insert_with(|| Arbiter::new(*epoch, *since));
     for view in views {
         arbiter.update_route(view, now);
     }
--- a/crates/node/src/loads.rs
+++ b/crates/node/src/loads.rs
@@ -71,7 +71,9 @@
         now: Time,
     ) -> Vec<(Option<KnownLoad>, Duration)> {
         let known = lock(&self.endpoints);
-        endpoints.map(|name| known.get(name).map_or((None, Duration::ZERO), |k| k.at(now))).collect()
+        endpoints
+            .map(|name| known.get(name).map_or((None, Duration::ZERO), |k| k.at(now)))
+            .collect()
     }
 
     /// Forgets endpoints that have not been heard of for long.
--- a/crates/node/src/owners.rs
+++ b/crates/node/src/owners.rs
@@ -219,9 +219,8 @@
         return;
     };
     let store = Arc::clone(&node.store);
-    let removed = blocking(move || {
-        store.write(&key, Precondition::At(revision), None, &fresh_write_id())
-    });
+    let removed =
+        blocking(move || store.write(&key, Precondition::At(revision), None, &fresh_write_id()));
     match removed.await {
         Ok(_) => info!("the record of {name} was removed after {REMOVE_AFTER:?} of silence"),
         Err(err) => info!("the record of {name} was not removed: {err}"),
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -11,8 +11,8 @@
 use limits::{Allowances, PARTITIONS};
 use membership::{Announcements, Directory, Ownership, QuorumLease, Relays};
 use model::{AttemptId, Incarnation, PartitionId, Time};
-use peer::{CallPool, Clock, Identity, PeerInfo, Secret};
 use payload::BodyLimits;
+use peer::{CallPool, Clock, Identity, PeerInfo, Secret};
 use platform::ObjectStore;
 use routing::SplitMix64;
 use settings::Settings;
@@ -87,10 +87,8 @@
             secret: Secret::new(settings.fleet_secret.reveal()),
             clock: Arc::clone(&clock) as Arc<dyn Clock>,
         };
-        let limits = BodyLimits {
-            stall_timeout: settings.caller.idle_timeout,
-            max_bytes: u64::MAX,
-        };
+        let limits =
+            BodyLimits { stall_timeout: settings.caller.idle_timeout, max_bytes: u64::MAX };
         let partitions = (0..PARTITIONS).map(PartitionId);
         let now = clock.now();
         Arc::new(Node {
--- a/crates/node/src/stop.rs
+++ b/crates/node/src/stop.rs
@@ -53,11 +53,7 @@
 /// guard refuses from then on are few and are sent elsewhere. Ownership moves while the lease is
 /// still valid. The guard refuses work only after that, and the callers' listener closes last, when
 /// every other node has already taken over.
-pub(crate) async fn leave(
-    node: &Arc<Node>,
-    close: watch::Sender<bool>,
-    serving: JoinHandle<()>,
-) {
+pub(crate) async fn leave(node: &Arc<Node>, close: watch::Sender<bool>, serving: JoinHandle<()>) {
     info!("stopping: telling peers that the endpoints leave");
     node.phase.send_replace(Phase::Leaving);
     lock(&node.announcements).stop();
--- a/crates/node/src/sync.rs
+++ b/crates/node/src/sync.rs
@@ -15,8 +15,8 @@
 use wire::{Frame, MAX_TRANSFER_BYTES};
 
 use crate::guard;
-use crate::view::node_key;
 use crate::shared::{Node, Phase, lock, read, write};
+use crate::view::node_key;
 
 /// How long one watch waits at the platform. A waiting watch counts as one call.
 const WATCH_WAIT: Duration = Duration::from_secs(10);
@@ -248,7 +248,8 @@
     let incarnation = node.info().incarnation;
     let removed = blocking(move || {
         let Some(stored) = store.read(&key)? else { return Ok(()) };
-        let is_own = matches!(&stored.object, Some(Object::Node(r)) if r.incarnation == incarnation);
+        let is_own =
+            matches!(&stored.object, Some(Object::Node(r)) if r.incarnation == incarnation);
         if !is_own {
             return Ok(());
         }
@@ -298,12 +299,13 @@
         if read(&node.config).revision() > Revision::ZERO {
             return;
         }
-        let copied = peer::request_all(*seed, &node.identity, Frame::Pull(Revision::ZERO), |frame| {
-            let Frame::Objects(transfer) = frame else { return None };
-            let last = transfer.last;
-            receive(&node, &seed_name(), transfer);
-            (!last).then_some(Frame::PullMore)
-        });
+        let copied =
+            peer::request_all(*seed, &node.identity, Frame::Pull(Revision::ZERO), |frame| {
+                let Frame::Objects(transfer) = frame else { return None };
+                let last = transfer.last;
+                receive(&node, &seed_name(), transfer);
+                (!last).then_some(Frame::PullMore)
+            });
         if let Err(err) = copied.await {
             info!("seed {seed} gave no configuration: {err}");
         }
--- a/crates/peer/src/call_link.rs
+++ b/crates/peer/src/call_link.rs
@@ -6,7 +6,7 @@
 
 use model::{AttemptId, Incarnation, ResultCode};
 use payload::{BodyCut, Payload, PayloadSender};
-use wire::{Call, BodyPart, EndpointLoad, Frame, Header, MAX_CHUNK_BYTES, Purpose};
+use wire::{BodyPart, Call, EndpointLoad, Frame, Header, MAX_CHUNK_BYTES, Purpose};
 
 use crate::handshake::{Identity, dial};
 use crate::link::{Link, LinkError};
@@ -232,7 +232,9 @@
             () = tx.closed() => return BodyEnd::NotWanted,
         };
         let chunk = match frame {
-            Ok(Frame::AnswerBody { attempt: answered, part: chunk }) if answered == attempt => chunk,
+            Ok(Frame::AnswerBody { attempt: answered, part: chunk }) if answered == attempt => {
+                chunk
+            }
             _ => return BodyEnd::Cut,
         };
         if tx.send(chunk.bytes.into()).await.is_err() {
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -10,7 +10,7 @@
 use model::{AttemptId, ResultCode};
 use payload::{Payload, PayloadSender};
 use tokio::net::{TcpListener, TcpStream};
-use wire::{AnswerHead, Call, BodyPart, EndpointLoad, Frame, Header, MAX_CHUNK_BYTES, Purpose};
+use wire::{AnswerHead, BodyPart, Call, EndpointLoad, Frame, Header, MAX_CHUNK_BYTES, Purpose};
 
 use crate::PeerInfo;
 use crate::handshake::{Identity, accept};
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -19,6 +19,6 @@
 pub use load_view::LoadView;
 pub use random::{RandomSource, SplitMix64};
 pub use retry::{
-    AttemptEnd, Body, CallAttempts, CallKind, Evidence, FenceResult, Idempotence, Next, WhenBusy,
-    refusal_evidence,
+    AttemptEnd, Body, CallAttempts, CallKind, Evidence, FenceResult, Idempotence, Next, PATIENCE,
+    WhenBusy, refusal_evidence,
 };
--- a/crates/routing/src/retry.rs
+++ b/crates/routing/src/retry.rs
@@ -1,5 +1,7 @@
 //! What follows when an attempt has ended.
 
+use std::time::Duration;
+
 use model::{Incarnation, ResultCode, Time};
 
 use crate::budget::{Grant, RetryBudget};
@@ -92,6 +94,9 @@
     UnknownToCaller(ResultCode),
 }
 
+/// Expected wait above which a call goes to another endpoint: about a round trip there.
+pub const PATIENCE: Duration = Duration::from_millis(3);
+
 /// What an attempt asks of a guard whose slots are all in use.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum WhenBusy {
--- a/crates/wire/src/encoding.rs
+++ b/crates/wire/src/encoding.rs
@@ -15,8 +15,8 @@
 use serde_bytes::ByteBuf;
 
 use crate::frame::{
-    AnswerHead, BodyPart, Call, EndpointLoad, FenceStatus, Frame, HandoverReply, Head, Header, Hello,
-    Ping, Pong, Purpose, Table, Welcome,
+    AnswerHead, BodyPart, Call, EndpointLoad, FenceStatus, Frame, HandoverReply, Head, Header,
+    Hello, Ping, Pong, Purpose, Table, Welcome,
 };
 use crate::health::{self, WireReply, WireUpdate};
 use crate::tokens::{self, WireHandover, WireTokenAnswer, WireTokenRequest};
@@ -151,6 +151,7 @@
     String,
     Option<(String, String)>,
     u64,
+    Option<u64>,
     u64,
     WireHead,
     WireBody,
@@ -214,9 +215,7 @@
             Frame::Handover(handover) => {
                 WireFrame::Handover(Box::new(tokens::handover_to_wire(handover)))
             }
-            Frame::HandoverReply(reply) => {
-                WireFrame::HandoverReply(*reply == HandoverReply::Taken)
-            }
+            Frame::HandoverReply(reply) => WireFrame::HandoverReply(*reply == HandoverReply::Taken),
             Frame::HealthUpdate(update) => {
                 WireFrame::HealthUpdate(Box::new(health::update_to_wire(update)))
             }
@@ -270,16 +269,14 @@
             }
             WireFrame::Pull(from) => Frame::Pull(Revision(from)),
             WireFrame::PullMore => Frame::PullMore,
-            WireFrame::Objects(from, floor, to, index, last, objects) => {
-                Frame::Objects(Transfer {
-                    from: from.map(Revision),
-                    floor: Revision(floor),
-                    to: Revision(to),
-                    index,
-                    last,
-                    objects: objects.into_iter().map(object_from_wire).collect::<Result<_, _>>()?,
-                })
-            }
+            WireFrame::Objects(from, floor, to, index, last, objects) => Frame::Objects(Transfer {
+                from: from.map(Revision),
+                floor: Revision(floor),
+                to: Revision(to),
+                index,
+                last,
+                objects: objects.into_iter().map(object_from_wire).collect::<Result<_, _>>()?,
+            }),
             WireFrame::PullTable => Frame::PullTable,
             WireFrame::Table(version, endpoints) => Frame::Table(Table {
                 version,
@@ -440,6 +437,7 @@
         call.route.to_string(),
         account.map(|(account, key)| (account.to_string(), key.to_string())),
         call.start_by.as_micros(),
+        call.patience.map(|patience| patience.as_micros() as u64),
         call.revision.0,
         (
             call.head.method.to_string(),
@@ -451,8 +449,18 @@
 }
 
 fn call_from_wire(call: WireCall) -> Result<Call, DecodeError> {
-    let WireCall(attempt, request, endpoint, route, account, start_by, revision, head, body) =
-        call;
+    let WireCall(
+        attempt,
+        request,
+        endpoint,
+        route,
+        account,
+        start_by,
+        patience,
+        revision,
+        head,
+        body,
+    ) = call;
     let account =
         account.map(|(account, key)| Ok::<_, DecodeError>((id(account)?, id(key)?))).transpose()?;
     Ok(Call {
@@ -462,6 +470,7 @@
         route: id(route)?,
         account,
         start_by: Time::from_micros(start_by),
+        patience: patience.map(Duration::from_micros),
         revision: Revision(revision),
         head: Head {
             method: head.0.into(),
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -151,6 +151,8 @@
     pub account: Option<(AccountName, KeyId)>,
     /// Latest start, in the receiver's time.
     pub start_by: Time,
+    /// Longest expected wait for a slot that the entry accepts; none if it waits until `start_by`.
+    pub patience: Option<Duration>,
     /// Revision by which the entry decided.
     pub revision: Revision,
     /// Head of the request.
--- a/xtask/src/demo.rs
+++ b/xtask/src/demo.rs
@@ -155,7 +155,10 @@
     std::thread::sleep(Duration::from_secs(2));
 
     show("served", send(entry, "GET", "/orders/1", Some(&key))?);
-    show("served through another entry", send(fleet.nodes[2].caller, "POST", "/orders", Some(&key))?);
+    show(
+        "served through another entry",
+        send(fleet.nodes[2].caller, "POST", "/orders", Some(&key))?,
+    );
     show("without a key", send(entry, "GET", "/orders/1", None)?);
     show("on a path without a route", send(entry, "GET", "/nowhere", Some(&key))?);
     let refused = (0..40)
@@ -183,8 +186,23 @@
 }
 
 const ORDERS_ROUTE: [&str; 17] = [
-    "route", "create", "orders", "--prefix", "/orders", "--service", "orders", "--access", "keyed",
-    "--timeout-ms", "2000", "--idempotent", "GET,HEAD", "--retry-budget", "20", "--floor", "50",
+    "route",
+    "create",
+    "orders",
+    "--prefix",
+    "/orders",
+    "--service",
+    "orders",
+    "--access",
+    "keyed",
+    "--timeout-ms",
+    "2000",
+    "--idempotent",
+    "GET,HEAD",
+    "--retry-budget",
+    "20",
+    "--floor",
+    "50",
 ];
 
 fn find_key(text: &str) -> Option<String> {
@@ -195,7 +213,8 @@
 fn send(entry: SocketAddr, method: &str, path: &str, key: Option<&str>) -> Result<Answer> {
     let agent: ureq::Agent =
         ureq::Agent::config_builder().http_status_as_error(false).build().into();
-    let mut req = ureq::http::Request::builder().method(method).uri(format!("http://{entry}{path}"));
+    let mut req =
+        ureq::http::Request::builder().method(method).uri(format!("http://{entry}{path}"));
     if let Some(key) = key {
         req = req.header("x-api-key", key);
     }
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -40,5 +40,7 @@
         .to_options()
         .command("slopes")
         .help("Measure memory, bytes and processor time per object and per decision");
-    construct!([demo, test, measure, slopes]).to_options().descr("Developer commands of zinniacross")
+    construct!([demo, test, measure, slopes])
+        .to_options()
+        .descr("Developer commands of zinniacross")
 }
--- a/xtask/src/measure/calls.rs
+++ b/xtask/src/measure/calls.rs
@@ -15,8 +15,8 @@
 };
 use routing::{
     AttemptEnd, Balancer, BalancerParams, Body, CallAttempts, CallKind, Candidate, Candidates,
-    Evidence, FenceResult, Idempotence, LoadView, Next, RandomSource, RetryBudget, SplitMix64,
-    Stage, WhenBusy,
+    Evidence, FenceResult, Idempotence, LoadView, Next, PATIENCE, RandomSource, RetryBudget,
+    SplitMix64, Stage, WhenBusy,
 };
 
 /// Slots of every endpoint.
@@ -29,9 +29,6 @@
 /// One-way latency between nodes of one failure domain.
 const HOP_INSIDE: Duration = Duration::from_micros(100);
 
-/// Expected wait above which a call rather goes to another endpoint: about a round trip there.
-const PATIENCE: Duration = Duration::from_millis(3);
-
 /// Calls that arrive earlier are not counted.
 const WARM_UP: Duration = Duration::from_secs(5);
 
