Follow the candidates of partitions by live nodes and refuse ambiguous paths

A stopping node is no candidate any more, which its Pong says, and a handover is repeated with the same buckets until it is acknowledged. Paths with dot segments or encoded slashes are refused: an open route must not lead to a path of a keyed one. Peers that need a full copy are no longer pushed one by every node.

--- a/crates/caller/src/sanitize.rs
+++ b/crates/caller/src/sanitize.rs
@@ -49,7 +49,7 @@
 ///
 /// Returns [`ResultCode::KeyConflict`] if there are two different keys,
 /// [`ResultCode::KeyMisplaced`] if the path holds one, and [`ResultCode::MalformedRequest`] if the
-/// target is not a path.
+/// target is not a path or its path could be read in two ways.
 ///
 /// ```
 /// use hyper::http::{HeaderMap, Method};
@@ -69,6 +69,9 @@
     if *method == Method::CONNECT || !uri.path().starts_with('/') {
         return Err(ResultCode::MalformedRequest);
     }
+    if !uri.path().split('/').all(is_plain_segment) {
+        return Err(ResultCode::MalformedRequest);
+    }
     if holds_key(uri.path()) {
         return Err(ResultCode::KeyMisplaced);
     }
@@ -78,6 +81,13 @@
     Ok(SanitizedHead { target, headers, key: found.key()? })
 }
 
+/// Tells whether a path segment means the same to everybody. An upstream that resolves `..` or an
+/// encoded slash could serve a path of a keyed route that was matched as one of an open route.
+fn is_plain_segment(segment: &str) -> bool {
+    let decoded = percent_decode(segment);
+    decoded != "." && decoded != ".." && !decoded.contains(['/', '\\', '\0'])
+}
+
 /// Keys found so far.
 #[derive(Default)]
 struct Found {
--- a/crates/node/src/limiter.rs
+++ b/crates/node/src/limiter.rs
@@ -5,10 +5,10 @@
 use std::time::Duration;
 
 use limits::{Allowances, Arrival, Decision, Owner, TokenAnswer, TokenRequest, TokenResult, Wake};
-use model::{Account, AccountName, NodeName, ResultCode, Time};
+use model::{Account, AccountName, NodeName, PartitionId, ResultCode, Time};
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout_at};
-use wire::Frame;
+use wire::{Frame, PartitionHandover};
 
 use crate::shared::{Map, Node, lock, read};
 
@@ -25,6 +25,8 @@
 pub(crate) struct Limiter {
     allowances: Mutex<Allowances>,
     pub(crate) owner: Mutex<Owner>,
+    /// Partitions that were handed over and not yet acknowledged.
+    pub(crate) given: Map<PartitionId, PartitionHandover>,
     waiting: Map<AccountName, Arc<Waiting>>,
 }
 
@@ -39,6 +41,7 @@
         Limiter {
             allowances: Mutex::new(allowances),
             owner: Mutex::new(Owner::new()),
+            given: Map::default(),
             waiting: Map::default(),
         }
     }
--- a/crates/node/src/owners.rs
+++ b/crates/node/src/owners.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use log::{info, warn};
-use membership::{Candidate, HandoverReceived, OwnerView, PlatformState, Step};
+use membership::{Candidate, HandoverReceived, LiveNodes, OwnerView, PlatformState, Step};
 use model::{Epoch, Kind, Object, ObjectKey, PartitionId, PartitionRecord, Revision, Time};
 use platform::{Precondition, fresh_write_id, write_resolved};
 use tokio::sync::Semaphore;
@@ -27,9 +27,6 @@
 /// Bits of a grant epoch that count the handovers within one epoch of the record.
 const HOP_BITS: u32 = 16;
 
-/// Attempts to hand over one partition at a stop.
-const HANDOVER_TRIES: u32 = 3;
-
 /// Silence of a member after which its record is removed. Long enough for a restart in place.
 const REMOVE_AFTER: Duration = Duration::from_secs(120);
 
@@ -46,7 +43,7 @@
         if node.phase() != Phase::Serving {
             continue;
         }
-        let live = node.peers.candidates(&node);
+        let live = node.peers.live(&node);
         let ids: Vec<PartitionId> = (0..limits::PARTITIONS).map(PartitionId).collect();
         for id in ids {
             look(&node, id, &live, &writes);
@@ -54,7 +51,7 @@
     }
 }
 
-fn look(node: &Arc<Node>, id: PartitionId, live: &[Candidate], writes: &Arc<Semaphore>) {
+fn look(node: &Arc<Node>, id: PartitionId, live: &LiveNodes, writes: &Arc<Semaphore>) {
     let platform = match node.platform_reachable.load(Ordering::Relaxed) {
         true => PlatformState::Reachable,
         false => PlatformState::Unreachable,
@@ -122,27 +119,33 @@
     }
 }
 
-/// Gives a partition to another node. From the first line on this process does not grant.
+/// Gives a partition to another node, or repeats the message that does. From the first line on this
+/// process does not grant. The message is kept until it is acknowledged, with the buckets in it.
 async fn hand_over(node: &Arc<Node>, id: PartitionId, to: &Candidate) {
-    let Some(right) = lock(&node.ownership).hand_over(id, to, node.now()) else { return };
-    let Ok(buckets) = lock(&node.limiter.owner).hand_over(node.now(), id) else { return };
-    node.health.lose(id);
+    let Some(message) = handover_message(node, id, to) else { return };
     let Some(peer) = node.peers.find(to.name.as_str()) else { return };
-    let frame = Frame::Handover(Box::new(PartitionHandover { right, buckets }));
-    for _ in 0..HANDOVER_TRIES {
-        match peer.client.request(frame.clone()).await {
-            Ok(Frame::HandoverReply(HandoverReply::Taken)) => {
-                info!("partition {id} was handed over to {}", to.name);
-                return;
-            }
-            Ok(_) => {
-                warn!("{} refused partition {id}", to.name);
-                return;
-            }
-            Err(_) => {}
+    match peer.client.request(Frame::Handover(Box::new(message.clone()))).await {
+        Ok(Frame::HandoverReply(HandoverReply::Taken)) => {
+            lock(&node.ownership).acknowledged(&message.right);
+            lock(&node.limiter.given).remove(&id);
+            info!("partition {id} was handed over to {}", to.name);
         }
+        Ok(_) => warn!("{} refused partition {id}", to.name),
+        Err(err) => warn!("handing over partition {id} to {}: {err}", to.name),
     }
-    warn!("handing over partition {id} to {} was not confirmed", to.name);
+}
+
+fn handover_message(node: &Node, id: PartitionId, to: &Candidate) -> Option<PartitionHandover> {
+    let right = lock(&node.ownership).hand_over(id, to, node.now())?;
+    let mut given = lock(&node.limiter.given);
+    if let Some(message) = given.get(&id).filter(|message| message.right == right) {
+        return Some(message.clone());
+    }
+    let buckets = lock(&node.limiter.owner).hand_over(node.now(), id).ok()?;
+    node.health.lose(id);
+    let message = PartitionHandover { right, buckets };
+    given.insert(id, message.clone());
+    Some(message)
 }
 
 /// Takes a handover.
@@ -169,11 +172,17 @@
 
 /// Hands all partitions over at a graceful stop.
 pub(crate) async fn hand_over_all(node: &Arc<Node>) {
-    let live = node.peers.candidates(node);
+    let live = node.peers.live(node);
     let held: Vec<PartitionId> = lock(&node.limiter.owner).partitions().collect();
     let moves = held.into_iter().filter_map(|id| {
         let to = lock(&node.ownership).successor(id, &live).cloned()?;
-        Some(async move { hand_over(node, id, &to).await })
+        Some(async move {
+            // Once more if the first message or its reply was lost.
+            hand_over(node, id, &to).await;
+            if lock(&node.limiter.given).contains_key(&id) {
+                hand_over(node, id, &to).await;
+            }
+        })
     });
     futures_util::future::join_all(moves).await;
 }
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -8,7 +8,7 @@
 
 use config::{Chunks, Incoming, Replica};
 use log::{info, warn};
-use membership::{AfterPong, Candidate};
+use membership::{AfterPong, Candidate, LiveNodes};
 use model::{FailureDomain, Incarnation, NodeName, ResultCode, Revision, Time};
 use payload::Payload;
 use peer::{ControlClient, ControlEvents, LinkError, PeerHandler, PeerInfo, Target};
@@ -67,6 +67,7 @@
     pub(crate) at: Time,
     pub(crate) revision: Revision,
     pub(crate) synced: bool,
+    pub(crate) stopping: bool,
 }
 
 impl Peers {
@@ -100,11 +101,14 @@
         lock(&self.members).values().cloned().collect()
     }
 
-    /// Live members, the own node included, as candidates for the ownership of partitions.
-    pub(crate) fn candidates(&self, node: &Node) -> Vec<Candidate> {
+    /// Members that could own partitions, the own node included unless it is stopping.
+    pub(crate) fn live(&self, node: &Node) -> LiveNodes {
         let now = node.now();
-        let PeerInfo { node: name, incarnation, .. } = node.info().clone();
-        let mut candidates = vec![Candidate { name, incarnation, alive_since: Time::ZERO }];
+        let mut live = LiveNodes::new();
+        if node.phase() == Phase::Serving {
+            let PeerInfo { node: name, incarnation, .. } = node.info().clone();
+            live.insert(Candidate { name, incarnation, alive_since: Time::ZERO });
+        }
         let lease = lock(&node.lease);
         for peer in lock(&self.members).values() {
             let link = lock(&peer.state.link);
@@ -112,11 +116,19 @@
             else {
                 continue;
             };
-            if lease.is_alive(&peer.name, now) {
-                candidates.push(Candidate { name: peer.name.clone(), incarnation, alive_since });
+            let can_own = link.last_pong.is_some_and(|pong| pong.synced && !pong.stopping);
+            if can_own && lease.is_alive(&peer.name, now) {
+                live.insert(Candidate { name: peer.name.clone(), incarnation, alive_since });
             }
         }
-        candidates
+        live
+    }
+
+    /// Number of members heard from lately, the own node included.
+    pub(crate) fn alive(&self, node: &Node) -> usize {
+        let now = node.now();
+        let lease = lock(&node.lease);
+        1 + lock(&self.members).keys().filter(|name| lease.is_alive(name, now)).count()
     }
 }
 
@@ -246,8 +258,8 @@
     {
         let mut link = lock(&peer.state.link);
         link.alive_since.get_or_insert(now);
-        let (revision, synced) = (pong.revision, pong.synced);
-        link.last_pong = Some(LastPong { at: now, revision, synced });
+        let Pong { revision, synced, stopping, .. } = pong;
+        link.last_pong = Some(LastPong { at: now, revision, synced, stopping });
     }
     write(&node.directory).pong(&peer.name, incarnation, now);
     if let Some(age) = pong.platform_age {
@@ -375,6 +387,7 @@
         revision: lease.revision(),
         table_version,
         synced: lease.is_synced(),
+        stopping: node.phase() != Phase::Serving,
         platform_age: Some(age),
         clock: now,
         loads,
--- a/crates/node/src/sync.rs
+++ b/crates/node/src/sync.rs
@@ -277,9 +277,11 @@
     }
 }
 
-/// Pushes the changes that a peer lacks.
+/// Pushes the changes that a peer lacks. A peer that needs a full copy asks one node of its choice
+/// for it; pushed, it would get one from every node.
 pub(crate) async fn push(node: &Arc<Node>, to: &crate::peers::Peer, since: Revision) {
-    let Some(chunks) = transfer_since(node, since) else { return };
+    let delta = read(&node.config).delta_since(since, MAX_TRANSFER_BYTES);
+    let config::Delta::Changes(chunks) = delta else { return };
     for chunk in chunks {
         if to.client.request(Frame::Objects(chunk)).await.is_err() {
             return;
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -49,7 +49,7 @@
         let metrics = &node.metrics;
         let is_valid = lock(&node.lease).is_valid(now);
         metrics.lease_valid.set(i64::from(is_valid));
-        metrics.members_alive.set(node.peers.candidates(&node).len() as i64);
+        metrics.members_alive.set(node.peers.alive(&node) as i64);
         metrics.platform_silence.set(lock(&node.relays).contact_age(now).as_secs_f64());
         metrics.partitions.set(lock(&node.limiter.owner).partitions().count() as i64);
         metrics.loads.set(node.loads.len() as i64);
--- a/crates/wire/src/encoding.rs
+++ b/crates/wire/src/encoding.rs
@@ -100,7 +100,7 @@
     #[serde(rename = "p")]
     Ping(u64, u64, u64),
     #[serde(rename = "q")]
-    Pong(u64, u64, u64, bool, Option<u64>, u64, Vec<WireLoad>),
+    Pong(u64, u64, u64, bool, bool, Option<u64>, u64, Vec<WireLoad>),
     #[serde(rename = "pu")]
     Pull(u64),
     #[serde(rename = "pm")]
@@ -256,17 +256,25 @@
             WireFrame::Ping(sequence, revision, table_version) => {
                 Frame::Ping(Ping { sequence, revision: Revision(revision), table_version })
             }
-            WireFrame::Pong(sequence, revision, table_version, synced, age, clock, loads) => {
-                Frame::Pong(Pong {
-                    sequence,
-                    revision: Revision(revision),
-                    table_version,
-                    synced,
-                    platform_age: age.map(Duration::from_millis),
-                    clock: Time::from_micros(clock),
-                    loads: loads.into_iter().map(load_from_wire).collect::<Result<_, _>>()?,
-                })
-            }
+            WireFrame::Pong(
+                sequence,
+                revision,
+                table_version,
+                synced,
+                stopping,
+                age,
+                clock,
+                loads,
+            ) => Frame::Pong(Pong {
+                sequence,
+                revision: Revision(revision),
+                table_version,
+                synced,
+                stopping,
+                platform_age: age.map(Duration::from_millis),
+                clock: Time::from_micros(clock),
+                loads: loads.into_iter().map(load_from_wire).collect::<Result<_, _>>()?,
+            }),
             WireFrame::Pull(from) => Frame::Pull(Revision(from)),
             WireFrame::PullMore => Frame::PullMore,
             WireFrame::Objects(from, floor, to, index, last, objects) => Frame::Objects(Transfer {
@@ -369,6 +377,7 @@
         pong.revision.0,
         pong.table_version,
         pong.synced,
+        pong.stopping,
         pong.platform_age.map(|age| age.as_millis() as u64),
         pong.clock.as_micros(),
         pong.loads.iter().map(load_to_wire).collect(),
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -81,6 +81,8 @@
     pub table_version: u64,
     /// Whether the peer's configuration has been compared with a majority.
     pub synced: bool,
+    /// Whether the peer is stopping and takes no partitions any more.
+    pub stopping: bool,
     /// Time since the peer, or a node that it heard of, was in contact with the platform.
     pub platform_age: Option<Duration>,
     /// The peer's time.
