--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -26,11 +26,14 @@
 use caller::CallerConfig;
 use eyre::{Context, Result};
 use log::info;
+use operator::OperatorPort;
 use payload::BodyLimits;
+use peer::FrameTap;
 use platform::{HttpStore, HttpStoreConfig, ObjectStore};
 use settings::Settings;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
+use tokio::task::{JoinHandle, JoinSet};
 
 use crate::announce::Announcer;
 use crate::entry::Entry;
@@ -46,53 +49,83 @@
         .build()
         .wrap_err("the runtime could not be started")?;
     runtime.block_on(async {
-        let store = Arc::new(HttpStore::new(&settings.platform_url, HttpStoreConfig::default())?);
-        serve(settings, store).await
+        let store = HttpStore::new(&settings.platform_url, HttpStoreConfig::default())?;
+        let running = start(settings, Arc::new(store), None).await?;
+        stop::wait_for_request(&running.node).await?;
+        running.stop().await;
+        Ok::<_, eyre::Report>(())
     })?;
     // Blocking calls to the platform may still wait; they change nothing any more.
     runtime.shutdown_background();
     Ok(())
 }
 
-async fn serve(settings: Settings, store: Arc<dyn ObjectStore>) -> Result<()> {
+/// A node that runs in this process.
+pub struct Running {
+    node: Arc<Node>,
+    close: watch::Sender<bool>,
+    serving: JoinHandle<()>,
+    loops: JoinSet<()>,
+    operator: OperatorPort,
+}
+
+impl Running {
+    /// Stops gracefully: no call is cut off.
+    pub async fn stop(mut self) {
+        stop::leave(&self.node, self.close, self.serving).await;
+        self.loops.shutdown().await;
+        self.operator.stop();
+    }
+}
+
+/// Starts a node on the current runtime. `tap` sees all frames to and from other nodes.
+///
+/// Fails if an address can't be listened on.
+pub async fn start(
+    settings: Settings,
+    store: Arc<dyn ObjectStore>,
+    tap: Option<Arc<dyn FrameTap>>,
+) -> Result<Running> {
     let callers = listen(settings.caller.listen, "callers").await?;
     let peers = listen(settings.peer.listen, "peers").await?;
     let announcements = listen(settings.upstream.listen, "announcements").await?;
-    let cfg = CallerConfig {
-        max_connections: settings.caller.max_connections as usize,
-        max_head_bytes: settings.caller.max_head.0 as usize,
-        idle_timeout: settings.caller.idle_timeout,
-        body: BodyLimits {
-            stall_timeout: settings.caller.idle_timeout,
-            max_bytes: settings.caller.max_body.0,
-        },
-    };
-    let node = Node::new(settings, store);
+    let cfg = caller_config(&settings);
+    let node = Node::new(settings, store, tap);
     let operator = view::start(&node)?;
     info!("node {} starts with incarnation {}", node.info().node, node.info().incarnation);
 
+    let mut loops = JoinSet::new();
     let handler = Arc::new(Handler { node: Arc::clone(&node) });
-    tokio::spawn(peer::serve(peers, node.identity.clone(), handler));
+    loops.spawn(peer::serve(peers, node.identity.clone(), handler));
     let announcer = Arc::new(Announcer { node: Arc::clone(&node) });
-    tokio::spawn(upstream::serve_announcements(announcements, announcer));
-    tokio::spawn(sync::follow_platform(Arc::clone(&node)));
-    tokio::spawn(sync::follow_seeds(Arc::clone(&node)));
-    tokio::spawn(sync::register(Arc::clone(&node)));
-    tokio::spawn(guard::tick(Arc::clone(&node)));
-    tokio::spawn(limiter::tick(Arc::clone(&node)));
-    tokio::spawn(owners::run(Arc::clone(&node)));
-    tokio::spawn(owners::remove_dead_members(Arc::clone(&node)));
-    tokio::spawn(health::exchange(Arc::clone(&node)));
-    tokio::spawn(health::arbitrate(Arc::clone(&node)));
-    tokio::spawn(view::refresh_gauges(Arc::clone(&node)));
+    loops.spawn(upstream::serve_announcements(announcements, announcer));
+    loops.spawn(sync::follow_platform(Arc::clone(&node)));
+    loops.spawn(sync::follow_seeds(Arc::clone(&node)));
+    loops.spawn(sync::register(Arc::clone(&node)));
+    loops.spawn(guard::tick(Arc::clone(&node)));
+    loops.spawn(limiter::tick(Arc::clone(&node)));
+    loops.spawn(owners::run(Arc::clone(&node)));
+    loops.spawn(owners::remove_dead_members(Arc::clone(&node)));
+    loops.spawn(health::exchange(Arc::clone(&node)));
+    loops.spawn(health::arbitrate(Arc::clone(&node)));
+    loops.spawn(view::refresh_gauges(Arc::clone(&node)));
 
-    let (close_tx, close_rx) = watch::channel(false);
+    let (close, close_rx) = watch::channel(false);
     let entry = Arc::new(Entry::new(Arc::clone(&node)));
     let serving = tokio::spawn(caller::serve(callers, cfg, entry, close_rx));
-    stop::wait_for_request(&node).await?;
-    stop::leave(&node, close_tx, serving).await;
-    drop(operator);
-    Ok(())
+    Ok(Running { node, close, serving, loops, operator })
+}
+
+fn caller_config(settings: &Settings) -> CallerConfig {
+    CallerConfig {
+        max_connections: settings.caller.max_connections as usize,
+        max_head_bytes: settings.caller.max_head.0 as usize,
+        idle_timeout: settings.caller.idle_timeout,
+        body: BodyLimits {
+            stall_timeout: settings.caller.idle_timeout,
+            max_bytes: settings.caller.max_body.0,
+        },
+    }
 }
 
 async fn listen(addr: SocketAddr, whom: &str) -> Result<TcpListener> {
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -12,7 +12,7 @@
 use membership::{Announcements, Directory, Ownership, QuorumLease, Relays};
 use model::{AttemptId, Incarnation, PartitionId, Time};
 use payload::BodyLimits;
-use peer::{CallPool, Clock, Identity, PeerInfo, Secret};
+use peer::{CallPool, Clock, FrameTap, Identity, PeerInfo, Secret};
 use platform::ObjectStore;
 use routing::SplitMix64;
 use settings::Settings;
@@ -76,7 +76,11 @@
 }
 
 impl Node {
-    pub(crate) fn new(settings: Settings, store: Arc<dyn ObjectStore>) -> Arc<Node> {
+    pub(crate) fn new(
+        settings: Settings,
+        store: Arc<dyn ObjectStore>,
+        tap: Option<Arc<dyn FrameTap>>,
+    ) -> Arc<Node> {
         let clock = Arc::new(MonotonicClock::new());
         let incarnation = Incarnation(rand::random());
         let name = settings.node.name.clone();
@@ -86,6 +90,7 @@
             info,
             secret: Secret::new(settings.fleet_secret.reveal()),
             clock: Arc::clone(&clock) as Arc<dyn Clock>,
+            tap,
         };
         let limits =
             BodyLimits { stall_timeout: settings.caller.idle_timeout, max_bytes: u64::MAX };
--- a/crates/peer/src/handshake.rs
+++ b/crates/peer/src/handshake.rs
@@ -16,7 +16,7 @@
 use wire::{Digest, Frame, Hello, Nonce, PROTOCOL_VERSION, Purpose, Welcome};
 
 use crate::link::{Link, LinkError};
-use crate::{Clock, PeerInfo};
+use crate::{Clock, FrameTap, PeerInfo};
 
 /// Time allowed for the handshake.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_millis(1500);
@@ -72,6 +72,8 @@
     pub secret: Secret,
     /// The time of this process.
     pub clock: Arc<dyn Clock>,
+    /// Sees all frames, if set.
+    pub tap: Option<Arc<dyn FrameTap>>,
 }
 
 /// Role in the proof of the dialer.
@@ -89,6 +91,7 @@
     let mut link = Link::connect(addr).await?;
     let welcome = timeout(HANDSHAKE_TIMEOUT, greet(&mut link, identity, purpose));
     let welcome = welcome.await.map_err(|_| LinkError::TimedOut)??;
+    link.observe(&welcome.node, identity.tap.clone());
     Ok((link, welcome))
 }
 
@@ -97,7 +100,10 @@
     link: &mut Link,
     identity: &Identity,
 ) -> Result<(PeerInfo, Purpose), LinkError> {
-    timeout(HANDSHAKE_TIMEOUT, welcome(link, identity)).await.map_err(|_| LinkError::TimedOut)?
+    let accepted = timeout(HANDSHAKE_TIMEOUT, welcome(link, identity));
+    let (peer, purpose) = accepted.await.map_err(|_| LinkError::TimedOut)??;
+    link.observe(&peer.node, identity.tap.clone());
+    Ok((peer, purpose))
 }
 
 async fn greet(
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -17,6 +17,16 @@
 pub use server::{CallReply, PeerHandler, PendingReply, serve};
 
 use model::{FailureDomain, Incarnation, NodeName, Time};
+use wire::Frame;
+
+/// Sees each frame that a process sends or receives after the handshake, for example to record a
+/// session.
+pub trait FrameTap: Send + Sync {
+    /// A frame is sent to a node.
+    fn sent(&self, to: &NodeName, frame: &Frame);
+    /// A frame has arrived from a node.
+    fn received(&self, from: &NodeName, frame: &Frame);
+}
 
 /// Reads the time of this process.
 pub trait Clock: Send + Sync {
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -2,10 +2,11 @@
 
 use std::fmt;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use futures_util::{FutureExt, SinkExt, StreamExt};
-use model::ResultCode;
+use model::{NodeName, ResultCode};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 use tokio_tungstenite::tungstenite::Message;
@@ -13,6 +14,8 @@
 use tokio_tungstenite::{WebSocketStream, accept_async_with_config, client_async_with_config};
 use wire::{DecodeError, Frame, MAX_FRAME_BYTES};
 
+use crate::FrameTap;
+
 /// Time allowed for TCP and WebSocket to connect. A connection takes about 1 ms, so a second covers
 /// one lost SYN.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1500);
@@ -55,6 +58,7 @@
 /// A connection that carries frames.
 pub struct Link {
     ws: WebSocketStream<TcpStream>,
+    observer: Option<(NodeName, Arc<dyn FrameTap>)>,
 }
 
 impl Link {
@@ -68,11 +72,20 @@
         let _ = stream.set_nodelay(true);
         let accepted = timeout(CONNECT_TIMEOUT, accept_async_with_config(stream, Some(config())));
         let ws = accepted.await.map_err(|_| LinkError::TimedOut)?;
-        Ok(Link { ws: ws.map_err(|err| LinkError::Connect(err.to_string().into()))? })
+        let ws = ws.map_err(|err| LinkError::Connect(err.to_string().into()))?;
+        Ok(Link { ws, observer: None })
+    }
+
+    /// Shows all further frames to a tap.
+    pub(crate) fn observe(&mut self, peer: &NodeName, tap: Option<Arc<dyn FrameTap>>) {
+        self.observer = tap.map(|tap| (peer.clone(), tap));
     }
 
     /// Sends a frame.
     pub async fn send(&mut self, frame: &Frame) -> Result<(), LinkError> {
+        if let Some((peer, tap)) = &self.observer {
+            tap.sent(peer, frame);
+        }
         let message = Message::Binary(wire::encode(frame).into());
         self.ws.send(message).await.map_err(|_| LinkError::Closed)
     }
@@ -85,7 +98,13 @@
                 Some(Ok(message)) => message,
             };
             match message {
-                Message::Binary(bytes) => return wire::decode(&bytes).map_err(LinkError::Invalid),
+                Message::Binary(bytes) => {
+                    let frame = wire::decode(&bytes).map_err(LinkError::Invalid)?;
+                    if let Some((peer, tap)) = &self.observer {
+                        tap.received(peer, &frame);
+                    }
+                    return Ok(frame);
+                }
                 Message::Close(_) => return Err(LinkError::Closed),
                 Message::Text(_) => return Err(LinkError::Unexpected),
                 // The WebSocket library answers pings itself.
@@ -108,7 +127,7 @@
     let url = format!("ws://{addr}/peer");
     let (ws, _) =
         client_async_with_config(url, stream, Some(config())).await.map_err(|err| failed(&err))?;
-    Ok(Link { ws })
+    Ok(Link { ws, observer: None })
 }
 
 fn config() -> WebSocketConfig {
