--- a/crates/routing/src/retry.rs
+++ b/crates/routing/src/retry.rs
@@ -57,7 +57,8 @@
         /// Whether the refusal proves that the attempt did not run.
         evidence: Evidence,
     },
-    /// The guard refused an impatient attempt at once, since it would have had to wait.
+    /// The guard refused an impatient attempt at once, since it would have had to wait. The next
+    /// choice avoids the endpoint, but may fall back to it, and then wait, if there is no other.
     Busy,
     /// The outcome is unknown, and no byte of an answer has gone to the caller.
     Unknown {
--- a/xtask/src/measure/calls.rs
+++ b/xtask/src/measure/calls.rs
@@ -258,7 +258,10 @@
     entry: usize,
     account: usize,
     service_ms: f64,
+    /// Endpoints that refused an attempt.
     tried: Vec<EndpointName>,
+    /// Endpoints that were busy; they are used again only when there are no others.
+    busy: Vec<EndpointName>,
     attempts: CallAttempts,
     answered_at: Option<Time>,
 }
@@ -397,6 +400,7 @@
                         account,
                         service_ms,
                         tried: Vec::new(),
+                        busy: Vec::new(),
                         attempts: CallAttempts::new(kind),
                         answered_at: None,
                     });
@@ -466,9 +470,16 @@
                 self.ended(attempt, report, now);
                 let Call { entry, service, .. } = self.calls[call];
                 let budget = &mut self.entries[entry].budgets[service];
+                let endpoint = self.nodes[node].endpoint.clone();
                 let end = match patience {
-                    Patience::AtMost(_) if code == ResultCode::QueueFull => AttemptEnd::Busy,
-                    _ => AttemptEnd::Refused { code, evidence: Evidence::NotRun },
+                    Patience::AtMost(_) if code == ResultCode::QueueFull => {
+                        self.calls[call].busy.push(endpoint);
+                        AttemptEnd::Busy
+                    }
+                    _ => {
+                        self.calls[call].tried.push(endpoint);
+                        AttemptEnd::Refused { code, evidence: Evidence::NotRun }
+                    }
                 };
                 let next = self.calls[call].attempts.next(end, Body::Replayable, budget, now);
                 if next == Next::RetryElsewhere {
@@ -530,11 +541,19 @@
     }
 
     fn send(&mut self, call: usize, now: Time) {
-        let Some(node) = self.choose(call, now) else { return };
+        let mut when_busy = self.calls[call].attempts.when_busy(Body::Replayable);
+        let tried = self.calls[call].tried.clone();
+        let avoided = [&tried[..], &self.calls[call].busy].concat();
+        let mut node = self.choose(call, &avoided, now);
+        if node.is_none() {
+            // All others are busy or have refused.
+            when_busy = WhenBusy::Wait;
+            node = self.choose(call, &tried, now);
+        }
+        let Some(node) = node else { return };
         let entry = self.calls[call].entry;
-        self.calls[call].tried.push(self.nodes[node].endpoint.clone());
         self.entries[entry].views[node].sent(now);
-        let patience = match self.calls[call].attempts.when_busy(Body::Replayable) {
+        let patience = match when_busy {
             WhenBusy::GoElsewhere if self.policy == Policy::LeastWait => Patience::AtMost(PATIENCE),
             _ => Patience::UntilStartBy,
         };
@@ -543,8 +562,8 @@
         self.at(now + self.hop(entry, node), Event::AtGuard { attempt });
     }
 
-    fn choose(&mut self, call: usize, now: Time) -> Option<usize> {
-        let Call { entry, service, ref tried, .. } = self.calls[call];
+    fn choose(&mut self, call: usize, tried: &[EndpointName], now: Time) -> Option<usize> {
+        let Call { entry, service, .. } = self.calls[call];
         let indexes = &self.by_service[service];
         let is_new = |node: &usize| !tried.contains(&self.nodes[*node].endpoint);
         let untried: Vec<usize> = indexes.iter().copied().filter(is_new).collect();
