Displace by service rather than by the number of queued calls

With a full queue, a new call displaced one only if the other account had at least two more queued. Accounts with a few queued calls each then refused a call of an account that was behind in service. The service that an account will have had once its queued calls have run now decides.

--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -56,6 +56,11 @@
         self.charge_at(now) + self.running.iter().map(run).sum::<f64>()
     }
 
+    /// Service that the account has had once its queued calls have run.
+    fn service_with_queue(&self, now: Time, mean: f64) -> f64 {
+        self.service(now, mean) + self.queue.len() as f64 * mean
+    }
+
     fn set_charge(&mut self, charge: f64, now: Time) {
         self.charge = charge;
         self.charged_at = now;
@@ -122,21 +127,25 @@
         self.mean_service += (service - self.mean_service) / MEAN_SHIFT;
     }
 
-    /// Queues a call. With a full queue, a call of an account with fewer queued calls takes the
-    /// place of the newest one of the account with the most, so that a backlog of one account
-    /// can't keep others out.
+    /// Queues a call. With a full queue, it takes the place of the newest call of the account that
+    /// would be ahead in service once its queued calls have run, unless that is its own account. A
+    /// backlog of one account can't keep others out.
     pub(crate) fn enqueue(&mut self, attempt: Attempt, capacity: u32, now: Time) -> Enqueued {
         if self.queued < capacity {
             self.activate(&attempt.account.clone(), now).queue.push_back(attempt);
             self.queued += 1;
             return Enqueued::Queued;
         }
-        let own = self.accounts.get(&attempt.account).map_or(0, |share| share.queue.len());
-        let most = self.accounts.values_mut().max_by_key(|share| share.queue.len());
-        let Some(most) = most.filter(|share| share.queue.len() > own + 1) else {
+        let mean = self.mean_service;
+        let own = self.activate(&attempt.account.clone(), now).service_with_queue(now, mean);
+        let waiting = self.accounts.values_mut().filter(|share| !share.queue.is_empty());
+        let most = waiting.max_by(|a, b| {
+            a.service_with_queue(now, mean).total_cmp(&b.service_with_queue(now, mean))
+        });
+        let most = most.filter(|share| share.service_with_queue(now, mean) > own + mean);
+        let Some(displaced) = most.and_then(|share| share.queue.pop_back()) else {
             return Enqueued::Full;
         };
-        let Some(displaced) = most.queue.pop_back() else { return Enqueued::Full };
         self.activate(&attempt.account.clone(), now).queue.push_back(attempt);
         Enqueued::Displaced(displaced)
     }
