Serve accounts in proportion to their rates

The queue compared the service of accounts as it is, so an account within its rate that needs more than an equal share was cut for the sake of smaller ones that send ten times theirs. The service is now divided by the rate.

--- a/crates/admission/src/guard.rs
+++ b/crates/admission/src/guard.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use model::{
-    AccountName, AttemptId, EndpointName, EndpointState, LoadReport, ResultCode, RouteName, Slots,
-    Time,
+    AccountName, AttemptId, EndpointName, EndpointState, LoadReport, Rate, ResultCode, RouteName,
+    Slots, Time,
 };
 
 use crate::ledger::{FenceAnswer, Ledger, Room, State, is_recordable};
@@ -26,6 +26,8 @@
     pub route: RouteName,
     /// The client account, or none on open routes.
     pub account: Option<AccountName>,
+    /// Rate of the account. Accounts are entitled to service in proportion to their rates.
+    pub rate: Rate,
     /// Latest start, in the time of this guard.
     pub start_by: Time,
     /// How long the attempt may wait for a slot.
@@ -143,7 +145,7 @@
 ///
 /// ```
 /// use admission::{Attempt, Check, Decision, Guard, GuardLimits, Patience};
-/// use model::{AttemptId, EndpointState, Incarnation, Slots, Time};
+/// use model::{AttemptId, EndpointState, Incarnation, Rate, Slots, Time};
 /// use std::time::Duration;
 ///
 /// let mut guard = Guard::new(GuardLimits::default());
@@ -155,7 +157,8 @@
 /// let route = "orders".parse().unwrap();
 /// let start_by = now + Duration::from_secs(1);
 /// let patience = Patience::UntilStartBy;
-/// let attempt = Attempt { id, endpoint, route, account: None, start_by, patience };
+/// let rate = Rate::per_second(10);
+/// let attempt = Attempt { id, endpoint, route, account: None, rate, start_by, patience };
 /// let verdicts = guard.arrive(attempt, now, &allow);
 /// assert_eq!(verdicts[0].decision, Decision::Start);
 /// ```
@@ -397,7 +400,7 @@
         let active =
             Active { endpoint: attempt.endpoint.clone(), account: attempt.account.clone() };
         if queue.has_free_slot() {
-            queue.start(id, &attempt.account, now);
+            queue.start(&attempt, now);
             self.ledger.record(id, State::Running, start_by);
             self.active.insert(id, active);
             return vec![verdict(Decision::Start)];
@@ -441,7 +444,7 @@
                 continue;
             }
             if let Some(queue) = self.endpoints.get_mut(endpoint) {
-                queue.start(attempt.id, &attempt.account, now);
+                queue.start(&attempt, now);
             }
             self.ledger.set(attempt.id, State::Running, now);
             verdicts.push(Verdict { attempt: attempt.id, decision: Decision::Start });
--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -19,6 +19,9 @@
 /// Calls of mean length by which an account that was idle may be ahead of the least-served one.
 const CREDIT_CALLS: f64 = 4.0;
 
+/// Least rate that accounts are compared by, in calls per second.
+const MIN_RATE: f64 = 0.001;
+
 /// Charge in microseconds below which an account without calls is dropped.
 const NEGLIGIBLE_CHARGE: f64 = 1000.0;
 
@@ -41,6 +44,8 @@
     charged_at: Time,
     running: Vec<(AttemptId, Time)>,
     queue: VecDeque<Attempt>,
+    /// Calls per second that the account is entitled to.
+    rate: f64,
 }
 
 impl AccountShare {
@@ -49,16 +54,17 @@
         self.charge * (-elapsed / CHARGE_HALF_LIFE.as_secs_f64()).exp2()
     }
 
-    /// Charged service plus that of the running calls. A call that has just started counts with
-    /// the mean, so that one account doesn't take several slots that become free together.
+    /// Charged service plus that of the running calls, in proportion to the rate. A call that has
+    /// just started counts with the mean, so that one account doesn't take several slots that
+    /// become free together.
     fn service(&self, now: Time, mean: f64) -> f64 {
         let run = |&(_, since): &(AttemptId, Time)| (now.since(since).as_micros() as f64).max(mean);
-        self.charge_at(now) + self.running.iter().map(run).sum::<f64>()
+        (self.charge_at(now) + self.running.iter().map(run).sum::<f64>()) / self.rate
     }
 
     /// Service that the account has had once its queued calls have run.
     fn service_with_queue(&self, now: Time, mean: f64) -> f64 {
-        self.service(now, mean) + self.queue.len() as f64 * mean
+        self.service(now, mean) + self.queue.len() as f64 * mean / self.rate
     }
 
     fn set_charge(&mut self, charge: f64, now: Time) {
@@ -71,7 +77,8 @@
     }
 }
 
-/// Slots and queue of one endpoint. The queue serves the account with the least service so far.
+/// Slots and queue of one endpoint. The queue serves the account with the least service so far
+/// in proportion to its rate.
 #[derive(Debug)]
 pub(crate) struct EndpointQueue {
     pub(crate) slots: Slots,
@@ -111,8 +118,8 @@
         }
     }
 
-    pub(crate) fn start(&mut self, id: AttemptId, account: &Option<AccountName>, now: Time) {
-        self.activate(account, now).running.push((id, now));
+    pub(crate) fn start(&mut self, attempt: &Attempt, now: Time) {
+        self.activate(attempt, now).running.push((attempt.id, now));
         self.running += 1;
     }
 
@@ -132,21 +139,22 @@
     /// backlog of one account can't keep others out.
     pub(crate) fn enqueue(&mut self, attempt: Attempt, capacity: u32, now: Time) -> Enqueued {
         if self.queued < capacity {
-            self.activate(&attempt.account.clone(), now).queue.push_back(attempt);
+            self.activate(&attempt, now).queue.push_back(attempt);
             self.queued += 1;
             return Enqueued::Queued;
         }
         let mean = self.mean_service;
-        let own = self.activate(&attempt.account.clone(), now).service_with_queue(now, mean);
+        let share = self.activate(&attempt, now);
+        let own = share.service_with_queue(now, mean) + mean / share.rate;
         let waiting = self.accounts.values_mut().filter(|share| !share.queue.is_empty());
         let most = waiting.max_by(|a, b| {
             a.service_with_queue(now, mean).total_cmp(&b.service_with_queue(now, mean))
         });
-        let most = most.filter(|share| share.service_with_queue(now, mean) > own + mean);
+        let most = most.filter(|share| share.service_with_queue(now, mean) > own);
         let Some(displaced) = most.and_then(|share| share.queue.pop_back()) else {
             return Enqueued::Full;
         };
-        self.activate(&attempt.account.clone(), now).queue.push_back(attempt);
+        self.activate(&attempt, now).queue.push_back(attempt);
         Enqueued::Displaced(displaced)
     }
 
@@ -205,16 +213,22 @@
 
     /// The share of an account that is about to have a call. If it had none, its lead over the
     /// least-served account with calls is cut to a small credit.
-    fn activate(&mut self, account: &Option<AccountName>, now: Time) -> &mut AccountShare {
+    fn activate(&mut self, attempt: &Attempt, now: Time) -> &mut AccountShare {
+        let account = &attempt.account;
+        let rate = (attempt.rate.milli_per_second() as f64 / 1000.0).max(MIN_RATE);
         let is_idle = self.accounts.get(account).is_none_or(AccountShare::is_idle);
+        let mean = self.mean_service;
+        let active = self.accounts.values().filter(|share| !share.is_idle());
+        let least = match is_idle {
+            true => active.map(|share| share.service(now, mean)).min_by(f64::total_cmp),
+            false => None,
+        };
+        let share = self.accounts.entry(account.clone()).or_default();
+        share.rate = rate;
         if is_idle {
-            let mean = self.mean_service;
-            let active = self.accounts.values().filter(|share| !share.is_idle());
-            let least = active.map(|share| share.service(now, mean)).min_by(f64::total_cmp);
-            let share = self.accounts.entry(account.clone()).or_default();
-            let floor = least.map_or(0.0, |least| least - CREDIT_CALLS * mean);
+            let floor = least.map_or(0.0, |least| least * rate - CREDIT_CALLS * mean);
             share.set_charge(share.charge_at(now).max(floor), now);
         }
-        self.accounts.entry(account.clone()).or_default()
+        share
     }
 }
--- a/crates/admission/tests/attempts.rs
+++ b/crates/admission/tests/attempts.rs
@@ -16,7 +16,7 @@
 
 use admission::{Attempt, Check, Decision, FenceAnswer, Guard, GuardLimits, Patience, Verdict};
 use model::{
-    AttemptId, EndpointName, EndpointState, Incarnation, Percent, ResultCode, Slots, Time,
+    AttemptId, EndpointName, EndpointState, Incarnation, Percent, Rate, ResultCode, Slots, Time,
 };
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -217,6 +217,7 @@
                     endpoint: endpoint(),
                     route,
                     account: None,
+                    rate: Rate::per_second(10),
                     start_by,
                     patience: Patience::UntilStartBy,
                 };
--- a/crates/admission/tests/guard.rs
+++ b/crates/admission/tests/guard.rs
@@ -8,7 +8,7 @@
     StopState, Verdict,
 };
 use model::{
-    AccountName, AttemptId, EndpointName, EndpointState, Incarnation, ResultCode, Slots, Time,
+    AccountName, AttemptId, EndpointName, EndpointState, Incarnation, Rate, ResultCode, Slots, Time,
 };
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -32,7 +32,8 @@
     let route = "orders".parse().unwrap();
     let start_by = ms(start_by);
     let patience = Patience::UntilStartBy;
-    Attempt { id: id(sequence), endpoint: endpoint(0), route, account, start_by, patience }
+    let rate = Rate::per_second(10);
+    Attempt { id: id(sequence), endpoint: endpoint(0), route, account, rate, start_by, patience }
 }
 
 fn allow(_: &Attempt) -> Check {
@@ -235,6 +236,27 @@
     assert_eq!(started(&guard.finish(id(10), ms(60), &allow)), [1]);
 }
 
+/// Guards against a large account within its rate that gets no more than a small one beyond its.
+#[test]
+fn service_is_in_proportion_to_the_rate() {
+    let mut guard = ready_guard(1);
+    let of = |sequence, account, rate| Attempt {
+        rate: Rate::per_second(rate),
+        ..attempt(sequence, account, 600_000)
+    };
+    let mut running = 0;
+    guard.arrive(of(0, "large", 30), ms(0), &allow);
+    let mut large = 0;
+    for round in 1..=200 {
+        let now = ms(round * 50);
+        guard.arrive(of(round, "large", 30), now, &allow);
+        guard.arrive(of(1000 + round, "small", 10), now, &allow);
+        running = started(&guard.finish(id(running), now, &allow))[0];
+        large += u32::from(running < 1000);
+    }
+    assert!((140..=160).contains(&large), "the large account got {large} of 200 slots");
+}
+
 /// Guards against an account that saves up service while idle and then holds every slot.
 #[test]
 fn an_idle_account_saves_up_only_a_small_credit() {
--- a/xtask/src/measure/calls.rs
+++ b/xtask/src/measure/calls.rs
@@ -11,7 +11,7 @@
 use eyre::Result;
 use model::{
     AccountName, AttemptId, EndpointName, EndpointState, FailureDomain, Incarnation, LoadReport,
-    NodeName, Percent, ResultCode, RouteName, Slots, Time,
+    NodeName, Percent, Rate, ResultCode, RouteName, Slots, Time,
 };
 use routing::{
     AttemptEnd, Balancer, BalancerParams, Body, CallAttempts, CallKind, Candidate, Candidates,
@@ -115,7 +115,7 @@
             for policy in policies {
                 let (mut waits, mut refused, mut calls) = (Vec::new(), 0, 0);
                 let demand = ORDINARY.map(|share| share * f64::from(percent) / 100.0);
-                let load = Load { demand, limits: [None; ACCOUNTS] };
+                let load = Load { demand, rates: ORDINARY, limits: [None; ACCOUNTS] };
                 let timeout = Duration::from_secs(10);
                 for call in all_seeds(deployment, policy, QueueOrder::Fair, &load, timeout) {
                     calls += 1;
@@ -152,6 +152,8 @@
 
 /// Demand of the accounts as shares of the capacity, and what the limiter lets through.
 struct Load {
+    /// Rates as shares of the capacity.
+    rates: [f64; ACCOUNTS],
     demand: [f64; ACCOUNTS],
     /// Rate of the accounts that are limited, as a share of the capacity.
     limits: [Option<f64>; ACCOUNTS],
@@ -184,7 +186,8 @@
                         limits[0] = Some(rates[0]);
                         limits[1] = Some(rates[1]);
                     }
-                    let (within, worst) = served(deployment, queue, &Load { demand, limits });
+                    let (within, worst) =
+                        served(deployment, queue, &Load { demand, rates, limits });
                     let targets = match queue {
                         QueueOrder::Fair => format!(
                             "{}, {}",
@@ -304,6 +307,7 @@
     calls: Vec<Call>,
     sent: Vec<SentAttempt>,
     accounts: Vec<AccountName>,
+    rates: [Rate; ACCOUNTS],
     route: RouteName,
 }
 
@@ -346,12 +350,14 @@
             calls: Vec::new(),
             sent: Vec::new(),
             accounts: (0..ACCOUNTS).map(|number| name(&format!("account-{number}"))).collect(),
+            rates: [Rate::default(); ACCOUNTS],
             route: name("route"),
         }
     }
 
     /// Runs the fleet and returns the calls after the warm-up.
     fn run(mut self, load: &Load, timeout: Duration) -> Vec<Call> {
+        self.rates = load.rates.map(|share| Rate::from_milli_per_second((share * 1e6) as u64));
         self.add_calls(load, timeout);
         for node in 0..self.nodes.len() {
             let offset = Duration::from_micros(self.traffic.below(1_000_000) as u64);
@@ -441,6 +447,7 @@
                     endpoint: self.nodes[node].endpoint.clone(),
                     route: self.route.clone(),
                     account,
+                    rate: self.rates[self.calls[call].account],
                     start_by: self.calls[call].arrived_at + timeout,
                     patience,
                 };
--- a/xtask/src/slopes/routing.rs
+++ b/xtask/src/slopes/routing.rs
@@ -6,7 +6,7 @@
 use admission::{Attempt, Check, Guard, GuardLimits, Patience};
 use eyre::Result;
 use model::{
-    AttemptId, EndpointName, EndpointState, FailureDomain, Incarnation, LoadReport, NodeName,
+    AttemptId, EndpointName, EndpointState, FailureDomain, Incarnation, LoadReport, NodeName, Rate,
     RouteName, Slots, Time,
 };
 use routing::{
@@ -120,6 +120,7 @@
         endpoint: endpoint.clone(),
         route: route.clone(),
         account: None,
+        rate: Rate::per_second(10),
         start_by: Time::ZERO + START_BY,
         patience: Patience::UntilStartBy,
     }
