Serve accounts over their rate after the others

The limiter cuts an account to its rate, after which the guard can't tell it from one that stays within it. An attempt now carries the standing of its account, which the entry knows from its allowances; the rate of an account over its rate counts for an eighth, so that it is not starved.

--- a/crates/admission/src/guard.rs
+++ b/crates/admission/src/guard.rs
@@ -28,12 +28,24 @@
     pub account: Option<AccountName>,
     /// Rate of the account. Accounts are entitled to service in proportion to their rates.
     pub rate: Rate,
+    /// Whether the account stays within its rate, as far as the entry knows.
+    pub standing: Standing,
     /// Latest start, in the time of this guard.
     pub start_by: Time,
     /// How long the attempt may wait for a slot.
     pub patience: Patience,
 }
 
+/// Whether an account stays within its rate. The limiter cuts an account to its rate, after which
+/// the guard can't tell it from one that stays within it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Standing {
+    /// The limiter has not refused calls of the account lately, or the route is open.
+    WithinRate,
+    /// The limiter refuses calls of the account. It is served after others where slots are short.
+    OverRate,
+}
+
 /// How long an attempt may wait for a slot before the entry would rather try another endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Patience {
@@ -144,7 +156,7 @@
 /// The guard before the endpoints of one node.
 ///
 /// ```
-/// use admission::{Attempt, Check, Decision, Guard, GuardLimits, Patience};
+/// use admission::{Attempt, Check, Decision, Guard, GuardLimits, Patience, Standing};
 /// use model::{AttemptId, EndpointState, Incarnation, Rate, Slots, Time};
 /// use std::time::Duration;
 ///
@@ -158,7 +170,9 @@
 /// let start_by = now + Duration::from_secs(1);
 /// let patience = Patience::UntilStartBy;
 /// let rate = Rate::per_second(10);
-/// let attempt = Attempt { id, endpoint, route, account: None, rate, start_by, patience };
+/// let standing = Standing::WithinRate;
+/// let attempt =
+///     Attempt { id, endpoint, route, account: None, rate, standing, start_by, patience };
 /// let verdicts = guard.arrive(attempt, now, &allow);
 /// assert_eq!(verdicts[0].decision, Decision::Start);
 /// ```
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -9,7 +9,7 @@
 mod queue;
 
 pub use guard::{
-    Attempt, Cancelled, Check, Checks, Decision, Drain, Guard, GuardLimits, Patience, StopState,
-    Verdict,
+    Attempt, Cancelled, Check, Checks, Decision, Drain, Guard, GuardLimits, Patience, Standing,
+    StopState, Verdict,
 };
 pub use ledger::{FenceAnswer, KEEP_AFTER_START_BY, MAX_START_BY};
--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -5,7 +5,7 @@
 
 use model::{AccountName, AttemptId, EndpointState, LoadReport, Slots, Time};
 
-use crate::guard::Attempt;
+use crate::guard::{Attempt, Standing};
 
 /// Service time assumed before the first call has finished.
 const FIRST_MEAN_SERVICE: Duration = Duration::from_millis(50);
@@ -22,6 +22,10 @@
 /// Least rate that accounts are compared by, in calls per second.
 const MIN_RATE: f64 = 0.001;
 
+/// Divisor of the rate of an account that exceeds it. It keeps a small part of its share, so that
+/// it is not starved for as long as slots are short.
+const OVER_RATE_DIVISOR: f64 = 8.0;
+
 /// Charge in microseconds below which an account without calls is dropped.
 const NEGLIGIBLE_CHARGE: f64 = 1000.0;
 
@@ -215,7 +219,11 @@
     /// least-served account with calls is cut to a small credit.
     fn activate(&mut self, attempt: &Attempt, now: Time) -> &mut AccountShare {
         let account = &attempt.account;
-        let rate = (attempt.rate.milli_per_second() as f64 / 1000.0).max(MIN_RATE);
+        let divisor = match attempt.standing {
+            Standing::WithinRate => 1.0,
+            Standing::OverRate => OVER_RATE_DIVISOR,
+        };
+        let rate = (attempt.rate.milli_per_second() as f64 / 1000.0 / divisor).max(MIN_RATE);
         let is_idle = self.accounts.get(account).is_none_or(AccountShare::is_idle);
         let mean = self.mean_service;
         let active = self.accounts.values().filter(|share| !share.is_idle());
--- a/crates/admission/tests/attempts.rs
+++ b/crates/admission/tests/attempts.rs
@@ -14,7 +14,9 @@
 use std::collections::{BinaryHeap, HashMap};
 use std::time::Duration;
 
-use admission::{Attempt, Check, Decision, FenceAnswer, Guard, GuardLimits, Patience, Verdict};
+use admission::{
+    Attempt, Check, Decision, FenceAnswer, Guard, GuardLimits, Patience, Standing, Verdict,
+};
 use model::{
     AttemptId, EndpointName, EndpointState, Incarnation, Percent, Rate, ResultCode, Slots, Time,
 };
@@ -218,6 +220,7 @@
                     route,
                     account: None,
                     rate: Rate::per_second(10),
+                    standing: Standing::WithinRate,
                     start_by,
                     patience: Patience::UntilStartBy,
                 };
--- a/crates/admission/tests/guard.rs
+++ b/crates/admission/tests/guard.rs
@@ -5,7 +5,7 @@
 
 use admission::{
     Attempt, Cancelled, Check, Checks, Decision, Drain, FenceAnswer, Guard, GuardLimits, Patience,
-    StopState, Verdict,
+    Standing, StopState, Verdict,
 };
 use model::{
     AccountName, AttemptId, EndpointName, EndpointState, Incarnation, Rate, ResultCode, Slots, Time,
@@ -33,7 +33,17 @@
     let start_by = ms(start_by);
     let patience = Patience::UntilStartBy;
     let rate = Rate::per_second(10);
-    Attempt { id: id(sequence), endpoint: endpoint(0), route, account, rate, start_by, patience }
+    let standing = Standing::WithinRate;
+    Attempt {
+        id: id(sequence),
+        endpoint: endpoint(0),
+        route,
+        account,
+        rate,
+        standing,
+        start_by,
+        patience,
+    }
 }
 
 fn allow(_: &Attempt) -> Check {
@@ -257,6 +267,26 @@
     assert!((140..=160).contains(&large), "the large account got {large} of 200 slots");
 }
 
+/// Guards against an account beyond its rate that takes slots from one within it, and against
+/// starving it.
+#[test]
+fn an_account_over_its_rate_is_served_after_others() {
+    let mut guard = ready_guard(1);
+    let over =
+        |sequence| Attempt { standing: Standing::OverRate, ..attempt(sequence, "over", 600_000) };
+    let mut running = 1000;
+    guard.arrive(over(1000), ms(0), &allow);
+    let mut within = 0;
+    for round in 1..=180 {
+        let now = ms(round * 50);
+        guard.arrive(attempt(round, "within", 600_000), now, &allow);
+        guard.arrive(over(1000 + round), now, &allow);
+        running = started(&guard.finish(id(running), now, &allow))[0];
+        within += u32::from(running < 1000);
+    }
+    assert!((150..=170).contains(&within), "the account within its rate got {within} of 180");
+}
+
 /// Guards against an account that saves up service while idle and then holds every slot.
 #[test]
 fn an_idle_account_saves_up_only_a_small_credit() {
--- a/xtask/src/measure/calls.rs
+++ b/xtask/src/measure/calls.rs
@@ -7,7 +7,7 @@
 use std::collections::BinaryHeap;
 use std::time::Duration;
 
-use admission::{Attempt, Check, Decision, Guard, GuardLimits, Patience, Verdict};
+use admission::{Attempt, Check, Decision, Guard, GuardLimits, Patience, Standing, Verdict};
 use eyre::Result;
 use model::{
     AccountName, AttemptId, EndpointName, EndpointState, FailureDomain, Incarnation, LoadReport,
@@ -308,6 +308,7 @@
     sent: Vec<SentAttempt>,
     accounts: Vec<AccountName>,
     rates: [Rate; ACCOUNTS],
+    standings: [Standing; ACCOUNTS],
     route: RouteName,
 }
 
@@ -351,6 +352,7 @@
             sent: Vec::new(),
             accounts: (0..ACCOUNTS).map(|number| name(&format!("account-{number}"))).collect(),
             rates: [Rate::default(); ACCOUNTS],
+            standings: [Standing::WithinRate; ACCOUNTS],
             route: name("route"),
         }
     }
@@ -358,6 +360,11 @@
     /// Runs the fleet and returns the calls after the warm-up.
     fn run(mut self, load: &Load, timeout: Duration) -> Vec<Call> {
         self.rates = load.rates.map(|share| Rate::from_milli_per_second((share * 1e6) as u64));
+        // The entries know which accounts the limiter cuts.
+        self.standings = load.limits.map(|limit| match limit {
+            Some(_) => Standing::OverRate,
+            None => Standing::WithinRate,
+        });
         self.add_calls(load, timeout);
         for node in 0..self.nodes.len() {
             let offset = Duration::from_micros(self.traffic.below(1_000_000) as u64);
@@ -448,6 +455,7 @@
                     route: self.route.clone(),
                     account,
                     rate: self.rates[self.calls[call].account],
+                    standing: self.standings[self.calls[call].account],
                     start_by: self.calls[call].arrived_at + timeout,
                     patience,
                 };
--- a/xtask/src/slopes/routing.rs
+++ b/xtask/src/slopes/routing.rs
@@ -3,7 +3,7 @@
 use std::hint::black_box;
 use std::time::{Duration, Instant};
 
-use admission::{Attempt, Check, Guard, GuardLimits, Patience};
+use admission::{Attempt, Check, Guard, GuardLimits, Patience, Standing};
 use eyre::Result;
 use model::{
     AttemptId, EndpointName, EndpointState, FailureDomain, Incarnation, LoadReport, NodeName, Rate,
@@ -121,6 +121,7 @@
         route: route.clone(),
         account: None,
         rate: Rate::per_second(10),
+        standing: Standing::WithinRate,
         start_by: Time::ZERO + START_BY,
         patience: Patience::UntilStartBy,
     }
