Share the least number of retries over the entries

Each entry granted 3 retries a second whatever its calls, so 38 entries granted 114 while a service with 420 calls a second failed. The least number of 3 a second now counts for the fleet: each entry earns its part and may save up 3 retries, so that a single failure on a quiet route is still retried. A retry within the share uses up a saved one too, so the two don't add up.

Ruled out: saved-up retries in addition to the share; the doc example, which grants exactly the share of 50 calls, failed with it.

--- a/crates/admission/tests/attempts.rs
+++ b/crates/admission/tests/attempts.rs
@@ -136,7 +136,7 @@
             newest: [0, 1],
             entry_paused_until: 0,
             calls: Vec::new(),
-            budget: RetryBudget::new(Percent::new(100).unwrap()),
+            budget: RetryBudget::new(Percent::new(100).unwrap(), 1),
             sequence: 0,
         };
         world.start_process();
--- a/crates/routing/src/budget.rs
+++ b/crates/routing/src/budget.rs
@@ -8,10 +8,13 @@
 /// up at once what a long calm period has earned.
 const WINDOW_SECONDS: u64 = 4;
 
-/// Retries that are granted each second whatever the share, so that a route with few calls can
-/// retry at all.
+/// Retries that are granted each second whatever the share, over all entries of the fleet, so that
+/// a route with few calls can retry at all. An entry may save up as many.
 const MIN_RETRIES_PER_SECOND: u64 = 3;
 
+/// One retry, in the unit in which saved-up retries are counted.
+const RETRY: u64 = 1_000_000;
+
 /// Answer of a [`RetryBudget`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Grant {
@@ -28,13 +31,15 @@
     retries: u64,
 }
 
-/// Retries that a route may make, as a share of its calls, at one entry.
+/// Retries that a route may make at one entry: a share of its calls, or a part of the least number
+/// that the fleet allows. With the whole least number at each entry, a fleet of many entries would
+/// multiply the calls to a failing service.
 ///
 /// ```
 /// use model::{Percent, Time};
 /// use routing::{Grant, RetryBudget};
 ///
-/// let mut budget = RetryBudget::new(Percent::new(20).unwrap());
+/// let mut budget = RetryBudget::new(Percent::new(20).unwrap(), 1);
 /// let now = Time::ZERO;
 /// (0..50).for_each(|_| budget.count_call(now));
 /// let granted = (0..50).filter(|_| budget.request_retry(now) == Grant::Granted).count();
@@ -44,12 +49,28 @@
 pub struct RetryBudget {
     share: Percent,
     seconds: VecDeque<Second>,
+    entries: u64,
+    /// Saved-up retries of the least number, as of `saved_at`.
+    saved: u64,
+    saved_at: Time,
 }
 
 impl RetryBudget {
-    /// Makes a budget of `share` of the calls, and at least 3 retries a second.
-    pub fn new(share: Percent) -> RetryBudget {
-        RetryBudget { share, seconds: VecDeque::new() }
+    /// Makes a budget of `share` of the calls, and of at least 3 retries a second over all
+    /// `entries` of the fleet.
+    pub fn new(share: Percent, entries: usize) -> RetryBudget {
+        RetryBudget {
+            share,
+            seconds: VecDeque::new(),
+            entries: entries.max(1) as u64,
+            saved: MIN_RETRIES_PER_SECOND * RETRY,
+            saved_at: Time::ZERO,
+        }
+    }
+
+    /// Takes a changed number of entries.
+    pub fn set_entries(&mut self, entries: usize) {
+        self.entries = entries.max(1) as u64;
     }
 
     /// Takes a changed share from the configuration.
@@ -64,13 +85,25 @@
 
     /// Asks for one retry and charges it if it is granted.
     pub fn request_retry(&mut self, now: Time) -> Grant {
-        let this_second = self.current(now).retries;
+        self.current(now);
         let calls: u64 = self.seconds.iter().map(|second| second.calls).sum();
         let retries: u64 = self.seconds.iter().map(|second| second.retries).sum();
-        let within_share = (retries + 1) * 100 <= calls * u64::from(self.share.value());
-        if !within_share && this_second >= MIN_RETRIES_PER_SECOND {
+        let elapsed = now.since(self.saved_at).as_micros() as u64;
+        let earned = elapsed.saturating_mul(MIN_RETRIES_PER_SECOND) / self.entries;
+        // Time that has earned less than the smallest unit is left to count next time.
+        if earned > 0 {
+            self.saved = self.saved.saturating_add(earned).min(MIN_RETRIES_PER_SECOND * RETRY);
+            self.saved_at = now;
+        }
+        let is_within_share = (retries + 1) * 100 <= calls * u64::from(self.share.value());
+        let has_saved = self.saved >= RETRY;
+        if !is_within_share && !has_saved {
             return Grant::Exhausted;
         }
+        // Every retry uses up a saved one, so that the least number doesn't add to the share.
+        if has_saved {
+            self.saved -= RETRY;
+        }
         self.current(now).retries += 1;
         Grant::Granted
     }
--- a/crates/routing/src/retry.rs
+++ b/crates/routing/src/retry.rs
@@ -121,7 +121,7 @@
 /// let deadline = Time::from_micros(1_000_000);
 /// let kind = CallKind { idempotence: Idempotence::NonIdempotent, deadline };
 /// let mut attempts = CallAttempts::new(kind);
-/// let mut budget = RetryBudget::new(Percent::new(20).unwrap());
+/// let mut budget = RetryBudget::new(Percent::new(20).unwrap(), 1);
 /// let refused = AttemptEnd::Refused { code: ResultCode::QueueFull, evidence: Evidence::NotRun };
 /// let next = attempts.next(refused, Body::Replayable, &mut budget, Time::ZERO);
 /// assert_eq!(next, Next::RetryElsewhere);
--- a/crates/routing/tests/calls.rs
+++ b/crates/routing/tests/calls.rs
@@ -20,7 +20,7 @@
 
 #[track_caller]
 fn check(idempotence: Idempotence, body: Body, steps: &[(AttemptEnd, u64, Next)]) {
-    let mut budget = RetryBudget::new(Percent::new(100).unwrap());
+    let mut budget = RetryBudget::new(Percent::new(100).unwrap(), 1);
     let mut attempts = CallAttempts::new(CallKind { idempotence, deadline: ms(1000) });
     for &(end, now, expected) in steps {
         assert_eq!(attempts.next(end, body, &mut budget, ms(now)), expected, "after {end:?}");
@@ -86,7 +86,7 @@
     let deadline = ms(1000);
     let mut attempts =
         CallAttempts::new(CallKind { idempotence: Idempotence::NonIdempotent, deadline });
-    let mut budget = RetryBudget::new(Percent::new(0).unwrap());
+    let mut budget = RetryBudget::new(Percent::new(0).unwrap(), 1);
     let expected = [WhenBusy::GoElsewhere, WhenBusy::GoElsewhere, WhenBusy::Wait];
     for when_busy in expected {
         assert_eq!(attempts.when_busy(Body::Replayable), when_busy);
@@ -109,7 +109,7 @@
 /// a route with few calls.
 #[test]
 fn retries_stay_within_the_budget() {
-    let mut budget = RetryBudget::new(Percent::new(20).unwrap());
+    let mut budget = RetryBudget::new(Percent::new(20).unwrap(), 1);
     let mut granted = 0;
     for call in 0..6000 {
         let now = Time::from_micros(call * 10_000);
@@ -117,9 +117,17 @@
         granted += u32::from(budget.request_retry(now) == Grant::Granted);
     }
     assert!((1100..=1200).contains(&granted), "{granted} retries of 6000 calls");
-    let mut quiet = RetryBudget::new(Percent::new(0).unwrap());
+    let mut quiet = RetryBudget::new(Percent::new(0).unwrap(), 1);
     let grants: Vec<Grant> = (0..4).map(|_| quiet.request_retry(ms(0))).collect();
     assert_eq!(grants[2..], [Grant::Granted, Grant::Exhausted]);
+    // The least number of 3 a second is shared by all entries.
+    let mut entries = vec![RetryBudget::new(Percent::new(0).unwrap(), 10); 10];
+    let mut requests = (0..60_000).map(|step| (step / 10, step % 10));
+    let granted = requests.by_ref().filter(|&(at, entry)| {
+        entries[entry as usize].request_retry(ms(at * 10)) == Grant::Granted
+    });
+    let granted = granted.count();
+    assert!((200..=215).contains(&granted), "{granted} retries in 60 s");
 }
 
 proptest! {
--- a/xtask/src/measure/calls.rs
+++ b/xtask/src/measure/calls.rs
@@ -334,7 +334,7 @@
         let entry = |node: &Node| Entry {
             balancer: Balancer::new(node.domain.clone(), BalancerParams::default()),
             views: vec![LoadView::default(); nodes.len()],
-            budgets: vec![retry_budget(); deployment.services.len()],
+            budgets: vec![retry_budget(nodes.len()); deployment.services.len()],
             turn: 0,
         };
         Sim {
@@ -689,7 +689,7 @@
 /// Attempts per call, and non-idempotent calls that ran more than once.
 fn failing_service(nodes: usize, calls_per_second: f64, mode: RetryMode) -> (f64, u64) {
     let mut random = SplitMix64::new(5);
-    let mut budgets = vec![retry_budget(); nodes];
+    let mut budgets = vec![retry_budget(nodes); nodes];
     // Ends of attempts in the order of time: time, order, call.
     let mut ends = BinaryHeap::new();
     let mut calls: Vec<(CallAttempts, Idempotence, u32, usize)> = Vec::new();
@@ -764,8 +764,8 @@
     }
 }
 
-fn retry_budget() -> RetryBudget {
-    RetryBudget::new(Percent::new(20).expect("20 is a share"))
+fn retry_budget(entries: usize) -> RetryBudget {
+    RetryBudget::new(Percent::new(20).expect("20 is a share"), entries)
 }
 
 // Figures.
