Merge fair queueing by rate, load views and retry budgets

The entry tells the guard whether it has lately refused calls of the account, and the guard shares slots in proportion to the rates in its replica.

--- a/crates/admission/src/guard.rs
+++ b/crates/admission/src/guard.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use model::{
-    AccountName, AttemptId, EndpointName, EndpointState, LoadReport, ResultCode, RouteName, Slots,
-    Time,
+    AccountName, AttemptId, EndpointName, EndpointState, LoadReport, Rate, ResultCode, RouteName,
+    Slots, Time,
 };
 
 use crate::ledger::{FenceAnswer, Ledger, Room, State, is_recordable};
@@ -26,12 +26,26 @@
     pub route: RouteName,
     /// The client account, or none on open routes.
     pub account: Option<AccountName>,
+    /// Rate of the account. Accounts are entitled to service in proportion to their rates.
+    pub rate: Rate,
+    /// Whether the account stays within its rate, as far as the entry knows.
+    pub standing: Standing,
     /// Latest start, in the time of this guard.
     pub start_by: Time,
     /// How long the attempt may wait for a slot.
     pub patience: Patience,
 }
 
+/// Whether an account stays within its rate. The limiter cuts an account to its rate, after which
+/// the guard can't tell it from one that stays within it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Standing {
+    /// The limiter has not refused calls of the account lately, or the route is open.
+    WithinRate,
+    /// The limiter refuses calls of the account. It is served after others where slots are short.
+    OverRate,
+}
+
 /// How long an attempt may wait for a slot before the entry would rather try another endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Patience {
@@ -142,8 +156,8 @@
 /// The guard before the endpoints of one node.
 ///
 /// ```
-/// use admission::{Attempt, Check, Decision, Guard, GuardLimits, Patience};
-/// use model::{AttemptId, EndpointState, Incarnation, Slots, Time};
+/// use admission::{Attempt, Check, Decision, Guard, GuardLimits, Patience, Standing};
+/// use model::{AttemptId, EndpointState, Incarnation, Rate, Slots, Time};
 /// use std::time::Duration;
 ///
 /// let mut guard = Guard::new(GuardLimits::default());
@@ -155,7 +169,10 @@
 /// let route = "orders".parse().unwrap();
 /// let start_by = now + Duration::from_secs(1);
 /// let patience = Patience::UntilStartBy;
-/// let attempt = Attempt { id, endpoint, route, account: None, start_by, patience };
+/// let rate = Rate::per_second(10);
+/// let standing = Standing::WithinRate;
+/// let attempt =
+///     Attempt { id, endpoint, route, account: None, rate, standing, start_by, patience };
 /// let verdicts = guard.arrive(attempt, now, &allow);
 /// assert_eq!(verdicts[0].decision, Decision::Start);
 /// ```
@@ -397,7 +414,7 @@
         let active =
             Active { endpoint: attempt.endpoint.clone(), account: attempt.account.clone() };
         if queue.has_free_slot() {
-            queue.start(id, &attempt.account, now);
+            queue.start(&attempt, now);
             self.ledger.record(id, State::Running, start_by);
             self.active.insert(id, active);
             return vec![verdict(Decision::Start)];
@@ -441,7 +458,7 @@
                 continue;
             }
             if let Some(queue) = self.endpoints.get_mut(endpoint) {
-                queue.start(attempt.id, &attempt.account, now);
+                queue.start(&attempt, now);
             }
             self.ledger.set(attempt.id, State::Running, now);
             verdicts.push(Verdict { attempt: attempt.id, decision: Decision::Start });
--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -5,7 +5,7 @@
 
 use model::{AccountName, AttemptId, EndpointState, LoadReport, Slots, Time};
 
-use crate::guard::Attempt;
+use crate::guard::{Attempt, Standing};
 
 /// Service time assumed before the first call has finished.
 const FIRST_MEAN_SERVICE: Duration = Duration::from_millis(50);
@@ -19,6 +19,13 @@
 /// Calls of mean length by which an account that was idle may be ahead of the least-served one.
 const CREDIT_CALLS: f64 = 4.0;
 
+/// Least rate that accounts are compared by, in calls per second.
+const MIN_RATE: f64 = 0.001;
+
+/// Divisor of the rate of an account that exceeds it. It keeps a small part of its share, so that
+/// it is not starved for as long as slots are short.
+const OVER_RATE_DIVISOR: f64 = 8.0;
+
 /// Charge in microseconds below which an account without calls is dropped.
 const NEGLIGIBLE_CHARGE: f64 = 1000.0;
 
@@ -41,6 +48,8 @@
     charged_at: Time,
     running: Vec<(AttemptId, Time)>,
     queue: VecDeque<Attempt>,
+    /// Calls per second that the account is entitled to.
+    rate: f64,
 }
 
 impl AccountShare {
@@ -49,11 +58,17 @@
         self.charge * (-elapsed / CHARGE_HALF_LIFE.as_secs_f64()).exp2()
     }
 
-    /// Charged service plus that of the running calls. A call that has just started counts with
-    /// the mean, so that one account doesn't take several slots that become free together.
+    /// Charged service plus that of the running calls, in proportion to the rate. A call that has
+    /// just started counts with the mean, so that one account doesn't take several slots that
+    /// become free together.
     fn service(&self, now: Time, mean: f64) -> f64 {
         let run = |&(_, since): &(AttemptId, Time)| (now.since(since).as_micros() as f64).max(mean);
-        self.charge_at(now) + self.running.iter().map(run).sum::<f64>()
+        (self.charge_at(now) + self.running.iter().map(run).sum::<f64>()) / self.rate
+    }
+
+    /// Service that the account has had once its queued calls have run.
+    fn service_with_queue(&self, now: Time, mean: f64) -> f64 {
+        self.service(now, mean) + self.queue.len() as f64 * mean / self.rate
     }
 
     fn set_charge(&mut self, charge: f64, now: Time) {
@@ -66,7 +81,8 @@
     }
 }
 
-/// Slots and queue of one endpoint. The queue serves the account with the least service so far.
+/// Slots and queue of one endpoint. The queue serves the account with the least service so far
+/// in proportion to its rate.
 #[derive(Debug)]
 pub(crate) struct EndpointQueue {
     pub(crate) slots: Slots,
@@ -106,8 +122,8 @@
         }
     }
 
-    pub(crate) fn start(&mut self, id: AttemptId, account: &Option<AccountName>, now: Time) {
-        self.activate(account, now).running.push((id, now));
+    pub(crate) fn start(&mut self, attempt: &Attempt, now: Time) {
+        self.activate(attempt, now).running.push((attempt.id, now));
         self.running += 1;
     }
 
@@ -122,22 +138,27 @@
         self.mean_service += (service - self.mean_service) / MEAN_SHIFT;
     }
 
-    /// Queues a call. With a full queue, a call of an account with fewer queued calls takes the
-    /// place of the newest one of the account with the most, so that a backlog of one account
-    /// can't keep others out.
+    /// Queues a call. With a full queue, it takes the place of the newest call of the account that
+    /// would be ahead in service once its queued calls have run, unless that is its own account. A
+    /// backlog of one account can't keep others out.
     pub(crate) fn enqueue(&mut self, attempt: Attempt, capacity: u32, now: Time) -> Enqueued {
         if self.queued < capacity {
-            self.activate(&attempt.account.clone(), now).queue.push_back(attempt);
+            self.activate(&attempt, now).queue.push_back(attempt);
             self.queued += 1;
             return Enqueued::Queued;
         }
-        let own = self.accounts.get(&attempt.account).map_or(0, |share| share.queue.len());
-        let most = self.accounts.values_mut().max_by_key(|share| share.queue.len());
-        let Some(most) = most.filter(|share| share.queue.len() > own + 1) else {
+        let mean = self.mean_service;
+        let share = self.activate(&attempt, now);
+        let own = share.service_with_queue(now, mean) + mean / share.rate;
+        let waiting = self.accounts.values_mut().filter(|share| !share.queue.is_empty());
+        let most = waiting.max_by(|a, b| {
+            a.service_with_queue(now, mean).total_cmp(&b.service_with_queue(now, mean))
+        });
+        let most = most.filter(|share| share.service_with_queue(now, mean) > own);
+        let Some(displaced) = most.and_then(|share| share.queue.pop_back()) else {
             return Enqueued::Full;
         };
-        let Some(displaced) = most.queue.pop_back() else { return Enqueued::Full };
-        self.activate(&attempt.account.clone(), now).queue.push_back(attempt);
+        self.activate(&attempt, now).queue.push_back(attempt);
         Enqueued::Displaced(displaced)
     }
 
@@ -196,16 +217,26 @@
 
     /// The share of an account that is about to have a call. If it had none, its lead over the
     /// least-served account with calls is cut to a small credit.
-    fn activate(&mut self, account: &Option<AccountName>, now: Time) -> &mut AccountShare {
+    fn activate(&mut self, attempt: &Attempt, now: Time) -> &mut AccountShare {
+        let account = &attempt.account;
+        let divisor = match attempt.standing {
+            Standing::WithinRate => 1.0,
+            Standing::OverRate => OVER_RATE_DIVISOR,
+        };
+        let rate = (attempt.rate.milli_per_second() as f64 / 1000.0 / divisor).max(MIN_RATE);
         let is_idle = self.accounts.get(account).is_none_or(AccountShare::is_idle);
+        let mean = self.mean_service;
+        let active = self.accounts.values().filter(|share| !share.is_idle());
+        let least = match is_idle {
+            true => active.map(|share| share.service(now, mean)).min_by(f64::total_cmp),
+            false => None,
+        };
+        let share = self.accounts.entry(account.clone()).or_default();
+        share.rate = rate;
         if is_idle {
-            let mean = self.mean_service;
-            let active = self.accounts.values().filter(|share| !share.is_idle());
-            let least = active.map(|share| share.service(now, mean)).min_by(f64::total_cmp);
-            let share = self.accounts.entry(account.clone()).or_default();
-            let floor = least.map_or(0.0, |least| least - CREDIT_CALLS * mean);
+            let floor = least.map_or(0.0, |least| least * rate - CREDIT_CALLS * mean);
             share.set_charge(share.charge_at(now).max(floor), now);
         }
-        self.accounts.entry(account.clone()).or_default()
+        share
     }
 }
--- a/crates/admission/tests/attempts.rs
+++ b/crates/admission/tests/attempts.rs
@@ -14,9 +14,11 @@
 use std::collections::{BinaryHeap, HashMap};
 use std::time::Duration;
 
-use admission::{Attempt, Check, Decision, FenceAnswer, Guard, GuardLimits, Patience, Verdict};
+use admission::{
+    Attempt, Check, Decision, FenceAnswer, Guard, GuardLimits, Patience, Standing, Verdict,
+};
 use model::{
-    AttemptId, EndpointName, EndpointState, Incarnation, Percent, ResultCode, Slots, Time,
+    AttemptId, EndpointName, EndpointState, Incarnation, Percent, Rate, ResultCode, Slots, Time,
 };
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -134,7 +136,7 @@
             newest: [0, 1],
             entry_paused_until: 0,
             calls: Vec::new(),
-            budget: RetryBudget::new(Percent::new(100).unwrap()),
+            budget: RetryBudget::new(Percent::new(100).unwrap(), 1),
             sequence: 0,
         };
         world.start_process();
@@ -217,6 +219,8 @@
                     endpoint: endpoint(),
                     route,
                     account: None,
+                    rate: Rate::per_second(10),
+                    standing: Standing::WithinRate,
                     start_by,
                     patience: Patience::UntilStartBy,
                 };
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -161,6 +161,9 @@
         name,
         idempotence,
         deadline,
+        over_rate: identity
+            .as_ref()
+            .is_some_and(|(account, ..)| node.limiter.is_over_rate(account, node.now())),
         account: identity.map(|(account, key, _)| (account, key)),
         revision,
         request: req.id,
@@ -249,6 +252,7 @@
     idempotence: Idempotence,
     deadline: Time,
     account: Option<(AccountName, KeyId)>,
+    over_rate: bool,
     revision: model::Revision,
     request: RequestId,
     head: Head,
@@ -277,7 +281,8 @@
 impl Run<'_> {
     async fn attempts(&mut self) -> Result<CallAnswer, ResultCode> {
         let share = self.route.policy().retry_budget;
-        self.node.budgets.count_call(self.route.name(), share, self.node.now());
+        let entries = self.node.peers.count() + 1;
+        self.node.budgets.count_call(self.route.name(), share, entries, self.node.now());
         let kind = CallKind { idempotence: self.idempotence, deadline: self.deadline };
         let mut attempts = CallAttempts::new(kind);
         loop {
@@ -290,7 +295,7 @@
                 return Err(final_code(attempts.give_up(code)));
             };
             let started = self.node.now();
-            let mut made = self.attempt(&entry, patience).await;
+            let mut made = self.attempt(&entry, patience, started).await;
             if let (Some(_), Err(AttemptEnd::Refused { code: ResultCode::QueueFull, .. })) =
                 (patience, &made.result)
             {
@@ -304,13 +309,13 @@
                         500.. => PathEnd::Failed,
                         _ => PathEnd::Answered(now.since(started)),
                     };
-                    self.node.loads.ended(&entry.name, end, now);
+                    self.node.loads.ended(&entry.name, started, end, now);
                     return made.result.map_err(|_| ResultCode::LinkLost);
                 }
                 Err(end) => *end,
             };
             self.record(&choice, &entry, describe(end));
-            self.node.loads.ended(&entry.name, path_end(end), now);
+            self.node.loads.ended(&entry.name, started, path_end(end), now);
             match end {
                 AttemptEnd::Busy => self.busy.push(entry.name.clone()),
                 _ => self.tried.push(entry.name.clone()),
@@ -342,7 +347,7 @@
         let now = self.node.now();
         let share = self.route.policy().retry_budget;
         let decide = |budget: &mut _| attempts.next(end, body, budget, now);
-        self.node.budgets.with(self.route.name(), share, decide)
+        self.node.budgets.with(self.route.name(), share, self.node.peers.count() + 1, decide)
     }
 
     /// Chooses an endpoint and how long the attempt may wait there.
@@ -396,10 +401,14 @@
         Some((choice, entry))
     }
 
-    async fn attempt(&mut self, entry: &EndpointEntry, patience: Option<Duration>) -> Made {
+    async fn attempt(
+        &mut self,
+        entry: &EndpointEntry,
+        patience: Option<Duration>,
+        now: Time,
+    ) -> Made {
         let node = self.node;
         let attempt = node.next_attempt();
-        let now = node.now();
         node.loads.sent(&entry.name, now);
         if *entry.node == node.info().node {
             let call = self.call(attempt, entry, self.deadline, patience);
@@ -440,7 +449,7 @@
         };
         let call = self.call(attempt, entry, start_by, patience);
         let body = self.take_body();
-        let result = self.send(target, call, body).await;
+        let result = self.send(target, call, body, peer.round_trip()).await;
         Made { attempt, start_by, place: Place::Remote(peer, target.incarnation), result }
     }
 
@@ -449,12 +458,13 @@
         target: Target,
         call: Call,
         body: Payload,
+        round_trip: Duration,
     ) -> Result<CallAnswer, AttemptEnd> {
         let node = self.node;
         let deadline = node.clock.instant(self.deadline);
         match timeout_at(deadline, node.call_pool.call(target, call, body)).await {
             Ok(Ok(answer)) => {
-                node.loads.update([&answer.load], node.now());
+                node.loads.update([&answer.load], node.now(), round_trip);
                 Ok(answer)
             }
             Ok(Err(CallError::NotSent(_))) => Err(AttemptEnd::Refused {
@@ -462,7 +472,7 @@
                 evidence: Evidence::NotRun,
             }),
             Ok(Err(CallError::Refused { code, load })) => {
-                node.loads.update(&load, node.now());
+                node.loads.update(&load, node.now(), round_trip);
                 let evidence = refusal_evidence(code, target.incarnation, target.incarnation);
                 Err(AttemptEnd::Refused { code, evidence })
             }
@@ -509,6 +519,7 @@
             account: self.account.clone(),
             start_by,
             patience,
+            over_rate: self.over_rate,
             revision: self.revision,
             head: self.head.clone(),
             body,
--- a/crates/node/src/guard.rs
+++ b/crates/node/src/guard.rs
@@ -6,14 +6,14 @@
 
 use admission::{
     Attempt, Cancelled, Check, Checks, Decision, Drain, FenceAnswer, Guard, GuardLimits, Patience,
-    StopState, Verdict,
+    Standing, StopState, Verdict,
 };
 use config::Replica;
 use health::CallResult;
 use hyper::http::{HeaderMap, HeaderName, HeaderValue, Request};
 use log::warn;
 use model::{
-    Access, AccountName, AttemptId, Endpoint, EndpointName, KeyId, ResultCode, Revision, Time,
+    Access, AccountName, AttemptId, Endpoint, EndpointName, KeyId, Rate, ResultCode, Revision, Time,
 };
 use payload::Payload;
 use peer::CallReply;
@@ -30,6 +30,9 @@
 /// Shortest pause between two looks at the queues.
 const MIN_TICK: Duration = Duration::from_millis(2);
 
+/// Rate by which all calls on open routes together are served, against those of the accounts.
+const OPEN_RATE: Rate = Rate::per_second(100);
+
 /// Header by which an upstream says that it refused a call without running it.
 const NOT_RUN_HEADER: &str = "x-not-run";
 
@@ -259,6 +262,8 @@
         endpoint: call.endpoint.clone(),
         route: call.route.clone(),
         account: call.account.as_ref().map(|(account, _)| account.clone()),
+        rate: account_rate(node, call),
+        standing: if call.over_rate { Standing::OverRate } else { Standing::WithinRate },
         start_by: call.start_by,
         patience: call.patience.map_or(Patience::UntilStartBy, Patience::AtMost),
     };
@@ -294,6 +299,13 @@
     }
 }
 
+/// The rate of the account that pays for a call; slots are shared in proportion to it.
+fn account_rate(node: &Node, call: &Call) -> Rate {
+    let Some((account, _)) = &call.account else { return OPEN_RATE };
+    let config = read(&node.config);
+    config.account(account.as_str()).map_or(OPEN_RATE, |account| account.value().rate)
+}
+
 /// An attempt in the queue or in a slot. Dropping it frees its place.
 struct Active {
     node: Arc<Node>,
--- a/crates/node/src/limiter.rs
+++ b/crates/node/src/limiter.rs
@@ -18,6 +18,9 @@
 /// Shortest pause between two looks.
 const MIN_TICK: Duration = Duration::from_millis(2);
 
+/// How long an account counts as over its rate after a refusal.
+const OVER_RATE_FOR: Duration = Duration::from_secs(5);
+
 /// Most requests in one frame.
 const MAX_BATCH: usize = 256;
 
@@ -28,6 +31,8 @@
     /// Partitions that were handed over and not yet acknowledged.
     pub(crate) given: Map<PartitionId, PartitionHandover>,
     waiting: Map<AccountName, Arc<Waiting>>,
+    /// When calls of an account were last refused for its rate.
+    refused: Map<AccountName, Time>,
 }
 
 /// Calls of one account that wait for tokens.
@@ -43,6 +48,7 @@
             owner: Mutex::new(Owner::new()),
             given: Map::default(),
             waiting: Map::default(),
+            refused: Map::default(),
         }
     }
 
@@ -72,6 +78,9 @@
                 }
                 Decision::Refused { code, .. } => {
                     claim.state = ClaimState::Settled;
+                    if code == ResultCode::RateExceeded {
+                        lock(&self.refused).insert(name.clone(), node.now());
+                    }
                     return Err(code);
                 }
                 Decision::Ask { asks, until } => {
@@ -126,8 +135,15 @@
         asks
     }
 
-    /// Forgets accounts that nobody waits for.
-    fn sweep(&self) {
+    /// Tells whether calls of an account were refused for its rate lately.
+    pub(crate) fn is_over_rate(&self, name: &AccountName, now: Time) -> bool {
+        let refused = lock(&self.refused);
+        refused.get(name).is_some_and(|at| now.since(*at) < OVER_RATE_FOR)
+    }
+
+    /// Forgets accounts that nobody waits for and refusals of long ago.
+    fn sweep(&self, now: Time) {
+        lock(&self.refused).retain(|_, at| now.since(*at) < OVER_RATE_FOR);
         lock(&self.waiting).retain(|_, waiting| Arc::strong_count(waiting) > 1);
     }
 }
@@ -211,7 +227,7 @@
         rounds += 1;
         if rounds.is_multiple_of(16) {
             lock(&node.limiter.owner).sweep(node.now());
-            node.limiter.sweep();
+            node.limiter.sweep(node.now());
         }
     }
 }
--- a/crates/node/src/loads.rs
+++ b/crates/node/src/loads.rs
@@ -5,7 +5,7 @@
 
 use health::PathPenalty;
 use model::{EndpointName, Time};
-use routing::KnownLoad;
+use routing::{KnownLoad, LoadView};
 use wire::EndpointLoad;
 
 use crate::shared::{Map, lock};
@@ -25,20 +25,23 @@
 
 #[derive(Default)]
 struct Known {
-    report: Option<(model::LoadReport, Time)>,
-    sent_since: u32,
+    view: LoadView,
     path: PathPenalty,
     touched: Time,
 }
 
 impl Loads {
     /// Takes the load that a heartbeat or an answer reports.
-    pub(crate) fn update<'a>(&self, loads: impl IntoIterator<Item = &'a EndpointLoad>, now: Time) {
+    pub(crate) fn update<'a>(
+        &self,
+        loads: impl IntoIterator<Item = &'a EndpointLoad>,
+        now: Time,
+        round_trip: Duration,
+    ) {
         let mut endpoints = lock(&self.endpoints);
         for load in loads {
             let known = endpoints.entry(load.endpoint.clone()).or_default();
-            known.report = Some((load.report, now));
-            known.sent_since = 0;
+            known.view.report(load.report, now, round_trip);
             known.touched = now;
         }
     }
@@ -47,15 +50,15 @@
     pub(crate) fn sent(&self, endpoint: &EndpointName, now: Time) {
         let mut endpoints = lock(&self.endpoints);
         let known = endpoints.entry(endpoint.clone()).or_default();
-        known.sent_since += 1;
+        known.view.sent(now);
         known.touched = now;
     }
 
-    /// Notes how a call ended.
-    pub(crate) fn ended(&self, endpoint: &EndpointName, end: PathEnd, now: Time) {
+    /// Notes how the call ended that was sent at `sent_at`.
+    pub(crate) fn ended(&self, endpoint: &EndpointName, sent_at: Time, end: PathEnd, now: Time) {
         let mut endpoints = lock(&self.endpoints);
         let known = endpoints.entry(endpoint.clone()).or_default();
-        known.sent_since = known.sent_since.saturating_sub(1);
+        known.view.ended(sent_at);
         known.touched = now;
         match end {
             PathEnd::Answered(latency) => known.path.record_success(latency, now),
@@ -89,12 +92,8 @@
 
 impl Known {
     fn at(&self, now: Time) -> (Option<KnownLoad>, Duration) {
-        let load = self.report.map(|(report, at)| KnownLoad {
-            report,
-            age: now.since(at),
-            sent_since: self.sent_since,
-        });
-        let expected = self.report.map_or(Duration::ZERO, |(report, _)| report.mean_service);
+        let load = self.view.known(now);
+        let expected = load.map_or(Duration::ZERO, |load| load.report.mean_service);
         let weight = self.path.weight(now, expected.max(Duration::from_millis(1)));
         let lost = 100 - u32::from(weight.value());
         (load, MAX_PATH_PENALTY * lost / 100)
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -68,6 +68,7 @@
     pub(crate) revision: Revision,
     pub(crate) synced: bool,
     pub(crate) stopping: bool,
+    pub(crate) round_trip: Duration,
 }
 
 impl Peers {
@@ -97,6 +98,11 @@
         lock(&self.members).get(name).cloned()
     }
 
+    /// Number of other members.
+    pub(crate) fn count(&self) -> usize {
+        lock(&self.members).len()
+    }
+
     pub(crate) fn all(&self) -> Vec<Arc<Peer>> {
         lock(&self.members).values().cloned().collect()
     }
@@ -159,6 +165,11 @@
         lock(&self.state.link).last_pong
     }
 
+    /// Round trip of the last heartbeat.
+    pub(crate) fn round_trip(&self) -> Duration {
+        self.last_pong().map_or(Duration::ZERO, |pong| pong.round_trip)
+    }
+
     /// Estimate of the peer's clock.
     pub(crate) fn clock(&self) -> GuardClock {
         lock(&self.state.clock).clone()
@@ -259,7 +270,8 @@
         let mut link = lock(&peer.state.link);
         link.alive_since.get_or_insert(now);
         let Pong { revision, synced, stopping, .. } = pong;
-        link.last_pong = Some(LastPong { at: now, revision, synced, stopping });
+        let round_trip = now.since(sent);
+        link.last_pong = Some(LastPong { at: now, revision, synced, stopping, round_trip });
     }
     write(&node.directory).pong(&peer.name, incarnation, now);
     if let Some(age) = pong.platform_age {
@@ -267,7 +279,7 @@
         // it was.
         lock(&node.relays).platform_contact(sent - age);
     }
-    node.loads.update(&pong.loads, now);
+    node.loads.update(&pong.loads, now, now.since(sent));
     let after = lock(&node.lease).pong(
         &peer.name,
         &membership::Pong {
--- a/crates/node/src/retries.rs
+++ b/crates/node/src/retries.rs
@@ -13,13 +13,14 @@
 
 impl RetryBudgets {
     /// Counts a call and applies the current share of its route.
-    pub(crate) fn count_call(&self, route: &str, share: Percent, now: Time) {
+    pub(crate) fn count_call(&self, route: &str, share: Percent, entries: usize, now: Time) {
         let mut budgets = lock(&self.budgets);
         if !budgets.contains_key(route) {
-            budgets.insert(route.into(), RetryBudget::new(share));
+            budgets.insert(route.into(), RetryBudget::new(share, entries));
         }
         if let Some(budget) = budgets.get_mut(route) {
             budget.set_share(share);
+            budget.set_entries(entries);
             budget.count_call(now);
         }
     }
@@ -29,10 +30,12 @@
         &self,
         route: &str,
         share: Percent,
+        entries: usize,
         decide: impl FnOnce(&mut RetryBudget) -> T,
     ) -> T {
         let mut budgets = lock(&self.budgets);
-        let budget = budgets.entry(route.into()).or_insert_with(|| RetryBudget::new(share));
+        let budget =
+            budgets.entry(route.into()).or_insert_with(|| RetryBudget::new(share, entries));
         decide(budget)
     }
 }
--- a/crates/wire/src/encoding.rs
+++ b/crates/wire/src/encoding.rs
@@ -152,6 +152,7 @@
     Option<(String, String)>,
     u64,
     Option<u64>,
+    bool,
     u64,
     WireHead,
     WireBody,
@@ -447,6 +448,7 @@
         account.map(|(account, key)| (account.to_string(), key.to_string())),
         call.start_by.as_micros(),
         call.patience.map(|patience| patience.as_micros() as u64),
+        call.over_rate,
         call.revision.0,
         (
             call.head.method.to_string(),
@@ -466,6 +468,7 @@
         account,
         start_by,
         patience,
+        over_rate,
         revision,
         head,
         body,
@@ -480,6 +483,7 @@
         account,
         start_by: Time::from_micros(start_by),
         patience: patience.map(Duration::from_micros),
+        over_rate,
         revision: Revision(revision),
         head: Head {
             method: head.0.into(),
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -155,6 +155,8 @@
     pub start_by: Time,
     /// Longest expected wait for a slot that the entry accepts; none if it waits until `start_by`.
     pub patience: Option<Duration>,
+    /// Whether the entry has lately refused calls of the account for its rate.
+    pub over_rate: bool,
     /// Revision by which the entry decided.
     pub revision: Revision,
     /// Head of the request.
--- a/xtask/src/measure/calls.rs
+++ b/xtask/src/measure/calls.rs
@@ -7,11 +7,11 @@
 use std::collections::BinaryHeap;
 use std::time::Duration;
 
-use admission::{Attempt, Check, Decision, Guard, GuardLimits, Patience, Verdict};
+use admission::{Attempt, Check, Decision, Guard, GuardLimits, Patience, Standing, Verdict};
 use eyre::Result;
 use model::{
     AccountName, AttemptId, EndpointName, EndpointState, FailureDomain, Incarnation, LoadReport,
-    NodeName, Percent, ResultCode, RouteName, Slots, Time,
+    NodeName, Percent, Rate, ResultCode, RouteName, Slots, Time,
 };
 use routing::{
     AttemptEnd, Balancer, BalancerParams, Body, CallAttempts, CallKind, Candidate, Candidates,
@@ -112,7 +112,7 @@
             for policy in policies {
                 let (mut waits, mut refused, mut calls) = (Vec::new(), 0, 0);
                 let demand = ORDINARY.map(|share| share * f64::from(percent) / 100.0);
-                let load = Load { demand, limits: [None; ACCOUNTS] };
+                let load = Load { demand, rates: ORDINARY, limits: [None; ACCOUNTS] };
                 let timeout = Duration::from_secs(10);
                 for call in all_seeds(deployment, policy, QueueOrder::Fair, &load, timeout) {
                     calls += 1;
@@ -149,6 +149,8 @@
 
 /// Demand of the accounts as shares of the capacity, and what the limiter lets through.
 struct Load {
+    /// Rates as shares of the capacity.
+    rates: [f64; ACCOUNTS],
     demand: [f64; ACCOUNTS],
     /// Rate of the accounts that are limited, as a share of the capacity.
     limits: [Option<f64>; ACCOUNTS],
@@ -181,7 +183,8 @@
                         limits[0] = Some(rates[0]);
                         limits[1] = Some(rates[1]);
                     }
-                    let (within, worst) = served(deployment, queue, &Load { demand, limits });
+                    let (within, worst) =
+                        served(deployment, queue, &Load { demand, rates, limits });
                     let targets = match queue {
                         QueueOrder::Fair => format!(
                             "{}, {}",
@@ -301,6 +304,8 @@
     calls: Vec<Call>,
     sent: Vec<SentAttempt>,
     accounts: Vec<AccountName>,
+    rates: [Rate; ACCOUNTS],
+    standings: [Standing; ACCOUNTS],
     route: RouteName,
 }
 
@@ -326,7 +331,7 @@
         let entry = |node: &Node| Entry {
             balancer: Balancer::new(node.domain.clone(), BalancerParams::default()),
             views: vec![LoadView::default(); nodes.len()],
-            budgets: vec![retry_budget(); deployment.services.len()],
+            budgets: vec![retry_budget(nodes.len()); deployment.services.len()],
             turn: 0,
         };
         Sim {
@@ -343,12 +348,20 @@
             calls: Vec::new(),
             sent: Vec::new(),
             accounts: (0..ACCOUNTS).map(|number| name(&format!("account-{number}"))).collect(),
+            rates: [Rate::default(); ACCOUNTS],
+            standings: [Standing::WithinRate; ACCOUNTS],
             route: name("route"),
         }
     }
 
     /// Runs the fleet and returns the calls after the warm-up.
     fn run(mut self, load: &Load, timeout: Duration) -> Vec<Call> {
+        self.rates = load.rates.map(|share| Rate::from_milli_per_second((share * 1e6) as u64));
+        // The entries know which accounts the limiter cuts.
+        self.standings = load.limits.map(|limit| match limit {
+            Some(_) => Standing::OverRate,
+            None => Standing::WithinRate,
+        });
         self.add_calls(load, timeout);
         for node in 0..self.nodes.len() {
             let offset = Duration::from_micros(self.traffic.below(1_000_000) as u64);
@@ -438,6 +451,8 @@
                     endpoint: self.nodes[node].endpoint.clone(),
                     route: self.route.clone(),
                     account,
+                    rate: self.rates[self.calls[call].account],
+                    standing: self.standings[self.calls[call].account],
                     start_by: self.calls[call].arrived_at + timeout,
                     patience,
                 };
@@ -671,7 +686,7 @@
 /// Attempts per call, and non-idempotent calls that ran more than once.
 fn failing_service(nodes: usize, calls_per_second: f64, mode: RetryMode) -> (f64, u64) {
     let mut random = SplitMix64::new(5);
-    let mut budgets = vec![retry_budget(); nodes];
+    let mut budgets = vec![retry_budget(nodes); nodes];
     // Ends of attempts in the order of time: time, order, call.
     let mut ends = BinaryHeap::new();
     let mut calls: Vec<(CallAttempts, Idempotence, u32, usize)> = Vec::new();
@@ -746,8 +761,8 @@
     }
 }
 
-fn retry_budget() -> RetryBudget {
-    RetryBudget::new(Percent::new(20).expect("20 is a share"))
+fn retry_budget(entries: usize) -> RetryBudget {
+    RetryBudget::new(Percent::new(20).expect("20 is a share"), entries)
 }
 
 // Figures.
--- a/xtask/src/slopes/routing.rs
+++ b/xtask/src/slopes/routing.rs
@@ -3,10 +3,10 @@
 use std::hint::black_box;
 use std::time::{Duration, Instant};
 
-use admission::{Attempt, Check, Guard, GuardLimits, Patience};
+use admission::{Attempt, Check, Guard, GuardLimits, Patience, Standing};
 use eyre::Result;
 use model::{
-    AttemptId, EndpointName, EndpointState, FailureDomain, Incarnation, LoadReport, NodeName,
+    AttemptId, EndpointName, EndpointState, FailureDomain, Incarnation, LoadReport, NodeName, Rate,
     RouteName, Slots, Time,
 };
 use routing::{
@@ -120,6 +120,8 @@
         endpoint: endpoint.clone(),
         route: route.clone(),
         account: None,
+        rate: Rate::per_second(10),
+        standing: Standing::WithinRate,
         start_by: Time::ZERO + START_BY,
         patience: Patience::UntilStartBy,
     }
