Ask the share that was asked longest ago

Round robin over the shares that can be asked skipped shares when the set changed, so full shares lost refill. The gain is small; the order of the shares is not the main cause of the missed target.

--- a/crates/limits/src/entry.rs
+++ b/crates/limits/src/entry.rs
@@ -337,6 +337,8 @@
     empty_until: Time,
     /// The owner is considered silent and not asked before this time.
     silent_until: Time,
+    /// When tokens were last requested.
+    asked: Time,
     /// Requests in a row that were not answered.
     unanswered: u8,
 }
@@ -354,7 +356,9 @@
     waiting_until: Time,
     /// Latest time at which an owner said that it has no more tokens.
     denied: Option<Time>,
-    next_share: u8,
+    /// The share that is asked first. It differs between entries, so that small demands spread
+    /// over the owners.
+    first_share: u8,
     owners: [OwnerState; SHARES as usize],
     allowances: Vec<Allowance>,
     pending: Vec<Pending>,
@@ -372,8 +376,7 @@
             waiting: 0,
             waiting_until: Time::ZERO,
             denied: None,
-            // Entries start with different shares, so that small demands spread over the owners.
-            next_share: (entry.0 % u64::from(SHARES)) as u8,
+            first_share: (entry.0 % u64::from(SHARES)) as u8,
             owners: [OwnerState::default(); SHARES as usize],
             allowances: Vec::new(),
             pending: Vec::new(),
@@ -491,9 +494,13 @@
         if candidates.is_empty() {
             return Vec::new();
         }
-        let first = usize::from(self.next_share) % candidates.len();
-        self.next_share = (self.next_share + 1) % SHARES;
-        candidates.rotate_left(first);
+        // The share that was asked longest ago has refilled most; asking others first would waste
+        // its refill once it is full.
+        let first = self.first_share;
+        candidates.sort_by_key(|share| {
+            let distance = (share.value() + SHARES - first) % SHARES;
+            (self.owners[usize::from(share.value())].asked, distance)
+        });
         let parts = (need / MIN_SPLIT).clamp(1, candidates.len() as u32);
         let wanted = need.div_ceil(parts);
         let chosen = candidates.into_iter().take(parts as usize);
@@ -513,6 +520,7 @@
         let request = asker.request(index, share.partition, wanted, spent);
         let sequence = request.sequence;
         let overdue = Overdue::No;
+        self.owners[usize::from(index.value())].asked = now;
         self.pending.push(Pending { share: index, sequence, sent: now, wanted, overdue });
         Some(request)
     }
