Keep the buckets of a partition that is gained again by its holder

A node that holds a partition and gains it under the next epoch, for example when it records a hand-over on the platform, started with empty buckets and forgot its live grants. It then refilled while their tokens were still being spent.

The buckets are kept only if the epoch is exactly the next one, since another node may have held an epoch in between. `accept` derives its epoch from the hand-over for the same reason.

--- a/crates/limits/src/owner.rs
+++ b/crates/limits/src/owner.rs
@@ -63,7 +63,8 @@
     /// Takes over a partition whose previous owner did not hand it over. All buckets start empty.
     ///
     /// The caller must have waited for the lease of the previous owner and for its grants to
-    /// expire.
+    /// expire. If this node holds the partition under the epoch directly before, no other node can
+    /// have held it since, and the buckets are kept: their live grants may still be spent.
     ///
     /// # Errors
     ///
@@ -75,28 +76,30 @@
         partition: PartitionId,
         epoch: Epoch,
     ) -> Result<(), OwnershipError> {
+        if let Some(held) = self.partitions.get_mut(&partition)
+            && held.epoch.0.checked_add(1) == Some(epoch.0)
+        {
+            held.epoch = epoch;
+            self.seen.insert(partition, epoch);
+            return Ok(());
+        }
         self.enter(partition, epoch, Partition { epoch, started: now, buckets: HashMap::new() })
     }
 
-    /// Takes over a partition with the levels and grants of its previous owner.
+    /// Takes over a partition with the levels and grants of its previous owner, under the epoch
+    /// directly after that owner's.
     ///
     /// # Errors
     ///
     /// [`OwnershipError::StaleEpoch`] if the partition was already held under this or a later
-    /// epoch, or if the epoch is not newer than the one of the previous owner.
-    pub fn accept(
-        &mut self,
-        now: Time,
-        epoch: Epoch,
-        handover: Handover,
-    ) -> Result<(), OwnershipError> {
-        if epoch <= handover.epoch {
-            return Err(OwnershipError::StaleEpoch { seen: handover.epoch });
-        }
+    /// epoch.
+    pub fn accept(&mut self, now: Time, handover: Handover) -> Result<Epoch, OwnershipError> {
+        let epoch = Epoch(handover.epoch.0.saturating_add(1));
         let started = now - handover.age;
         let buckets = handover.buckets.into_iter().map(|state| Bucket::from_state(now, state));
         let held = Partition { epoch, started, buckets: buckets.collect() };
-        self.enter(handover.partition, epoch, held)
+        self.enter(handover.partition, epoch, held)?;
+        Ok(epoch)
     }
 
     /// Gives up a partition on a graceful stop and returns its state for the next owner.
