--- a/crates/limits/src/entry.rs
+++ b/crates/limits/src/entry.rs
@@ -337,6 +337,8 @@
     empty_until: Time,
     /// The owner is considered silent and not asked before this time.
     silent_until: Time,
+    /// When tokens were last requested.
+    asked: Time,
     /// Requests in a row that were not answered.
     unanswered: u8,
 }
@@ -354,7 +356,9 @@
     waiting_until: Time,
     /// Latest time at which an owner said that it has no more tokens.
     denied: Option<Time>,
-    next_share: u8,
+    /// The share that is asked first. It differs between entries, so that small demands spread
+    /// over the owners.
+    first_share: u8,
     owners: [OwnerState; SHARES as usize],
     allowances: Vec<Allowance>,
     pending: Vec<Pending>,
@@ -372,8 +376,7 @@
             waiting: 0,
             waiting_until: Time::ZERO,
             denied: None,
-            // Entries start with different shares, so that small demands spread over the owners.
-            next_share: (entry.0 % u64::from(SHARES)) as u8,
+            first_share: (entry.0 % u64::from(SHARES)) as u8,
             owners: [OwnerState::default(); SHARES as usize],
             allowances: Vec::new(),
             pending: Vec::new(),
@@ -416,7 +419,9 @@
         if self.held(now) > reserved
             && let Some(share) = self.spend(now)
         {
-            return Decision::Taken { share, asks: self.ask(now, self.waiting, asker) };
+            let mut asks = self.ask(now, self.waiting, asker);
+            self.report_early(share, asker, &mut asks);
+            return Decision::Taken { share, asks };
         }
         if now >= wait_until {
             return self.refuse(now);
@@ -491,9 +496,13 @@
         if candidates.is_empty() {
             return Vec::new();
         }
-        let first = usize::from(self.next_share) % candidates.len();
-        self.next_share = (self.next_share + 1) % SHARES;
-        candidates.rotate_left(first);
+        // The share that was asked longest ago has refilled most; asking others first would waste
+        // its refill once it is full.
+        let first = self.first_share;
+        candidates.sort_by_key(|share| {
+            let distance = (share.value() + SHARES - first) % SHARES;
+            (self.owners[usize::from(share.value())].asked, distance)
+        });
         let parts = (need / MIN_SPLIT).clamp(1, candidates.len() as u32);
         let wanted = need.div_ceil(parts);
         let chosen = candidates.into_iter().take(parts as usize);
@@ -513,6 +522,7 @@
         let request = asker.request(index, share.partition, wanted, spent);
         let sequence = request.sequence;
         let overdue = Overdue::No;
+        self.owners[usize::from(index.value())].asked = now;
         self.pending.push(Pending { share: index, sequence, sent: now, wanted, overdue });
         Some(request)
     }
@@ -537,6 +547,23 @@
         reports
     }
 
+    /// Reports spent tokens of a share at once when they are half of its burst. Until the report,
+    /// they block refill, which a small share cannot make up for later.
+    fn report_early(
+        &mut self,
+        index: ShareIndex,
+        asker: &mut Asker<'_>,
+        asks: &mut Vec<TokenRequest>,
+    ) {
+        let Some(share) = share_at(self.base, &self.account, index) else { return };
+        let of_share = self.allowances.iter().filter(|allowance| allowance.share == index);
+        let unreported: u32 = of_share.map(|allowance| allowance.spent - allowance.reported).sum();
+        if unreported >= (share.burst.0 / 2).max(1) {
+            let spent = self.reports(index);
+            asks.push(asker.request(index, share.partition, 0, spent));
+        }
+    }
+
     fn report_all(&mut self, asker: &mut Asker<'_>, asks: &mut Vec<TokenRequest>) {
         for index in (0..SHARES).filter_map(ShareIndex::new) {
             let spent = self.reports(index);
