Judge latency by four slow slices and only after the warm-up

Of the 6 false ejections left in the healthy week, 5 were pauses that made two slices slow, followed or preceded by one slow call in a slice with one or two calls. One was a relapse in probation of an endpoint that had just restarted. Latency now needs 4 slices in which most calls were slow, or 3 newest slices with slow calls only, and probation ignores latency during the warm-up, as the comparison already does.

--- a/crates/health/src/arbiter.rs
+++ b/crates/health/src/arbiter.rs
@@ -40,10 +40,14 @@
 /// Fewest calls of the peers that give a reference.
 const MIN_PEER_CALLS: u64 = 10;
 
-/// Fewest slices with a failed call, or in which most calls were slow. A pause of an upstream for
-/// a few hundred milliseconds makes many calls slow at once, but touches at most two slices.
+/// Fewest slices with a failed call, or newest slices with slow calls only.
 const MIN_BAD_SLICES: usize = 3;
 
+/// Fewest slices in which most calls were slow, if any call was not. A pause of an upstream for a
+/// few hundred milliseconds makes many calls slow in two slices, and one slow call of ordinary
+/// noise may make most calls of a third one slow at low load.
+const MIN_SLOW_SLICES: usize = 4;
+
 /// Least difference between the shares of failed calls.
 const MIN_FAILURE_EXCESS: f64 = 0.10;
 
@@ -224,6 +228,11 @@
         }
     }
 
+    /// Whether the endpoint has been ready for long enough to be judged by latency.
+    fn is_warm(&self, now: Time) -> bool {
+        self.ready_since.is_none_or(|since| now.since(since) >= WARM_UP)
+    }
+
     /// Forgets the calls from before the backoff, which say nothing about the recovery.
     fn start_probation(&mut self, now: Time) {
         self.window.clear();
@@ -735,7 +744,7 @@
                 continue;
             }
             let totals = cell.window.totals(span);
-            let warm = cell.ready_since.is_none_or(|since| now.since(since) >= WARM_UP);
+            let warm = cell.is_warm(now);
             let median = totals.median_bucket();
             group.push(Member { name: &endpoint.name, cell, totals, median, warm });
         }
@@ -763,7 +772,8 @@
                 continue;
             }
             let totals = cell.window.totals(SLICES);
-            let slow = slow_from.map_or(0, |bucket| totals.at_least(bucket));
+            let slow = slow_from.filter(|_| cell.is_warm(now));
+            let slow = slow.map_or(0, |bucket| totals.at_least(bucket));
             let bad = totals.failures + slow;
             let share = bad as f64 / totals.calls().max(1) as f64;
             if bad < 2 || share < 0.25 + peer_share {
@@ -900,7 +910,8 @@
     if slow < MIN_BAD {
         return None;
     }
-    if member.cell.window.slow_slices(slow_from) < MIN_BAD_SLICES {
+    let slices = member.cell.window.slow_slices(slow_from);
+    if slices.most < MIN_SLOW_SLICES && slices.newest_all < MIN_BAD_SLICES {
         return None;
     }
     let peer_calls: u64 = others(group, at).map(|m| m.totals.successes).sum();
--- a/crates/health/src/window.rs
+++ b/crates/health/src/window.rs
@@ -53,6 +53,15 @@
     }
 }
 
+/// Slices with slow calls.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct SlowSlices {
+    /// Slices in which at least half of the calls were slow.
+    pub most: usize,
+    /// Newest slices in a row, not counting empty ones, in which all calls were slow.
+    pub newest_all: usize,
+}
+
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Window {
     slices: [Slice; SLICES],
@@ -107,14 +116,22 @@
         self.slices.iter().filter(|slice| slice.failures > 0).count()
     }
 
-    /// Slices in which at least half of the successful calls are in `bucket` or above.
-    pub fn slow_slices(&self, bucket: usize) -> usize {
-        let is_slow = |slice: &&Slice| {
+    /// Counts the slices with successful calls in `bucket` or above.
+    pub fn slow_slices(&self, bucket: usize) -> SlowSlices {
+        let mut slices = SlowSlices { most: 0, newest_all: 0 };
+        let mut only_slow = true;
+        for slice in self.recent(SLICES) {
             let sum = |counts: &[u16]| counts.iter().map(|&count| u64::from(count)).sum::<u64>();
+            let all = sum(&slice.successes);
+            if all == 0 {
+                continue;
+            }
             let slow = sum(&slice.successes[bucket.min(BUCKETS)..]);
-            slow > 0 && slow * 2 >= sum(&slice.successes)
-        };
-        self.slices.iter().filter(is_slow).count()
+            only_slow &= slow == all;
+            slices.most += usize::from(slow * 2 >= all);
+            slices.newest_all += usize::from(only_slow);
+        }
+        slices
     }
 
     fn recent(&self, count: usize) -> impl Iterator<Item = &Slice> {
