Compare failures with two thirds of the peers instead of half

On the route with 30% of the calls, 4 s hold about 29 calls of an endpoint and 87 to 120 of the better half of its peers; that reference is too small to tell one failure in three from noise at a p-value of 1e-8. Only the worst third of the peers is left out now. The test with half of the endpoints failing still passes.

--- a/crates/health/src/arbiter.rs
+++ b/crates/health/src/arbiter.rs
@@ -853,8 +853,9 @@
     })
 }
 
-/// Compares the failures of an endpoint with the better half of its peers, so that a few sick
-/// peers do not hide it.
+/// Compares the failures of an endpoint with its peers but for the worst third, so that a few sick
+/// peers do not hide it. A smaller reference could not tell a rate of one in three on a route with
+/// few calls.
 fn failure_finding(group: &[Member<'_>], at: usize) -> Option<Finding> {
     let own = &group[at].totals;
     if own.failures < MIN_BAD {
@@ -868,7 +869,7 @@
     let mut peers: Vec<&Totals> = others(group, at).map(|m| &m.totals).collect();
     peers.retain(|totals| totals.calls() > 0);
     peers.sort_by(|a, b| a.failure_share().total_cmp(&b.failure_share()));
-    peers.truncate(peers.len().div_ceil(2));
+    peers.truncate(peers.len() - peers.len() / 3);
     let peer_calls: u64 = peers.iter().map(|totals| totals.calls()).sum();
     let peer_failures: u64 = peers.iter().map(|totals| totals.failures).sum();
     if peer_calls < MIN_PEER_CALLS {
