Let a finding on one route support the others of the same endpoint

A slow or failing endpoint is seen on its busy route first, and the route with 30% of the calls then waits for evidence of its own; a 10 times slower endpoint finishes about 2 calls a second there. An endpoint that was found bad in the same way on another route within 5 s now needs a p-value of 1e-3 and 2 bad calls instead of 1e-8 and 3. An endpoint that fails one route only has no bad calls on the others, so these are not touched.

--- a/crates/health/src/arbiter.rs
+++ b/crates/health/src/arbiter.rs
@@ -1,6 +1,6 @@
 //! Decides which endpoints are ejected from which routes.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::time::Duration;
 
@@ -30,23 +30,35 @@
 /// calls before it would hide.
 const SPANS: [usize; 3] = [2, 4, SLICES];
 
-/// Largest probability of a false alarm in one comparison. A service of 14 endpoints with two
-/// routes makes 10^8 comparisons a week for each kind of test; most have no bad call at all.
-const ALPHA: f64 = 1e-8;
+/// Evidence that a finding needs.
+#[derive(Debug, Clone, Copy)]
+struct Evidence {
+    /// Largest probability of a false alarm in one comparison.
+    alpha: f64,
+    /// Fewest bad calls.
+    bad: u64,
+    /// Fewest slices with a failed call, or newest slices with slow calls only.
+    slices: usize,
+    /// Fewest slices in which most calls were slow, if any call was not.
+    slow_slices: usize,
+}
 
-/// Fewest bad calls that count as evidence.
-const MIN_BAD: u64 = 3;
+/// A service of 14 endpoints with two routes makes 10^8 comparisons a week for each kind of test;
+/// most have no bad call at all. A pause of an upstream for a few hundred milliseconds makes many
+/// calls slow in two slices, and one slow call of ordinary noise may make most calls of a third
+/// one slow at low load.
+const ALONE: Evidence = Evidence { alpha: 1e-8, bad: 3, slices: 3, slow_slices: 4 };
 
-/// Fewest calls of the peers that give a reference.
-const MIN_PEER_CALLS: u64 = 10;
+/// For an endpoint that was just found to be bad in the same way on another route. Few of the
+/// endpoints get here without a fault, so a false alarm of one comparison in a thousand is rare.
+const SUPPORTED: Evidence = Evidence { alpha: 1e-3, bad: 2, slices: 2, slow_slices: 2 };
 
-/// Fewest slices with a failed call, or newest slices with slow calls only.
-const MIN_BAD_SLICES: usize = 3;
+/// Time for which a finding supports findings about the same endpoint on other routes. It ends
+/// before the endpoint can be back in slow start.
+const SUPPORT: Duration = Duration::from_secs(5);
 
-/// Fewest slices in which most calls were slow, if any call was not. A pause of an upstream for a
-/// few hundred milliseconds makes many calls slow in two slices, and one slow call of ordinary
-/// noise may make most calls of a third one slow at low load.
-const MIN_SLOW_SLICES: usize = 4;
+/// Fewest calls of the peers that give a reference.
+const MIN_PEER_CALLS: u64 = 10;
 
 /// Least difference between the shares of failed calls.
 const MIN_FAILURE_EXCESS: f64 = 0.10;
@@ -207,6 +219,8 @@
     severity: u16,
     /// Any entry may hold an ejection until then.
     held_until: Time,
+    /// When and how the endpoint was last found to be bad.
+    found: Option<(Time, FindingKind)>,
     /// Successful calls since probation began.
     probation_calls: u64,
     /// When the endpoint became ready, if this arbiter saw it happen.
@@ -222,6 +236,7 @@
             level: 0,
             severity: 0,
             held_until: Time::ZERO,
+            found: None,
             probation_calls: 0,
             ready_since: None,
             reason: "".into(),
@@ -274,12 +289,15 @@
     reason: Box<str>,
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum FindingKind {
     Failures,
     Latency,
 }
 
+/// Endpoints that were just found to be bad on some route.
+type Support = BTreeSet<(EndpointName, FindingKind)>;
+
 /// Arbitrates the ejections of one service.
 ///
 /// ```
@@ -461,8 +479,9 @@
     pub fn tick(&mut self, lease: QuorumLease, now: Time) -> Vec<Decision> {
         self.guards.retain(|_, newest| now.since(newest.1) < Duration::from_secs(60));
         let mut decisions = Vec::new();
+        let support = self.support(now);
         for route in self.routes.values_mut() {
-            route.tick(lease, self.first_ejection, now, &mut decisions);
+            route.tick(lease, self.first_ejection, &support, now, &mut decisions);
         }
         self.routes.retain(|_, route| {
             !route.view.endpoints.is_empty() || route.cells.values().any(|c| c.held_until > now)
@@ -496,6 +515,16 @@
         EjectionList { epoch: self.epoch, sequence: self.sequence, entries }
     }
 
+    /// Recent findings about each endpoint on any route.
+    fn support(&self, now: Time) -> Support {
+        let cells = self.routes.values().flat_map(|route| &route.cells);
+        let recent = cells.filter_map(|(name, cell)| {
+            let (at, kind) = cell.found?;
+            (now.since(at) < SUPPORT).then(|| (name.clone(), kind))
+        });
+        recent.collect()
+    }
+
     fn cell_or_insert(&mut self, held: &HeldEjection, now: Time) -> Option<&mut Cell> {
         let route = self.routes.get_mut(&held.route)?;
         Some(route.cells.entry(held.endpoint.clone()).or_insert_with(|| Cell::new(now)))
@@ -516,6 +545,7 @@
         &mut self,
         lease: QuorumLease,
         first_ejection: Time,
+        support: &Support,
         now: Time,
         out: &mut Vec<Decision>,
     ) {
@@ -525,7 +555,7 @@
             cell.held_until > now || view.endpoints.iter().any(|e| e.name == *name)
         });
         self.shed(now, out);
-        let findings = self.findings(now);
+        let findings = self.findings(support, now);
         let mut order: Vec<(EndpointName, Finding)> = findings.into_iter().collect();
         order.sort_by(|a, b| b.1.severity.cmp(&a.1.severity).then_with(|| a.0.cmp(&b.0)));
         let may_eject = lease == QuorumLease::Valid && now >= first_ejection;
@@ -578,6 +608,7 @@
         let level = cell.level;
         cell.level = (level + 1).min(MAX_LEVEL);
         cell.severity = finding.severity;
+        cell.found = Some((now, finding.kind));
         cell.reason = finding.reason;
         let end = now + backoff(level);
         if may_eject && fits {
@@ -722,11 +753,12 @@
         out.push(self.decision(name, action, reason.to_string()));
     }
 
-    fn findings(&self, now: Time) -> BTreeMap<EndpointName, Finding> {
+    fn findings(&self, support: &Support, now: Time) -> BTreeMap<EndpointName, Finding> {
         let mut findings = BTreeMap::new();
-        if has_suspects(&self.group(SLICES, now)) {
+        let least = if support.is_empty() { ALONE.bad } else { SUPPORTED.bad };
+        if has_suspects(&self.group(SLICES, now), least) {
             for span in SPANS {
-                add_outliers(&self.group(span, now), &mut findings);
+                add_outliers(&self.group(span, now), support, &mut findings);
             }
         }
         self.add_relapses(now, &mut findings);
@@ -831,39 +863,48 @@
 }
 
 /// Compares each endpoint with the others.
-fn add_outliers(group: &[Member<'_>], findings: &mut BTreeMap<EndpointName, Finding>) {
+fn add_outliers(
+    group: &[Member<'_>],
+    support: &Support,
+    findings: &mut BTreeMap<EndpointName, Finding>,
+) {
+    let evidence = |name: &EndpointName, kind| {
+        let supported = !support.is_empty() && support.contains(&(name.clone(), kind));
+        if supported { SUPPORTED } else { ALONE }
+    };
     for at in 0..group.len() {
         let name = group[at].name;
         if findings.contains_key(name) {
             continue;
         }
-        let finding = failure_finding(group, at).or_else(|| latency_finding(group, at));
+        let finding = failure_finding(group, at, evidence(name, FindingKind::Failures))
+            .or_else(|| latency_finding(group, at, evidence(name, FindingKind::Latency)));
         findings.extend(finding.map(|finding| (name.clone(), finding)));
     }
 }
 
 /// Tells whether any endpoint has enough bad calls in the whole window to be compared at all.
 /// Most ticks end here. The lowest median is at most the reference of any endpoint.
-fn has_suspects(group: &[Member<'_>]) -> bool {
+fn has_suspects(group: &[Member<'_>], least: u64) -> bool {
     let with_calls = group.iter().filter(|member| member.totals.successes > 0);
     let lowest = with_calls.map(|member| member.median).min().unwrap_or(0);
     let slow_from = lowest + SLOW_BUCKETS;
-    group.iter().any(|member| {
-        member.totals.failures >= MIN_BAD || member.totals.at_least(slow_from) >= MIN_BAD
-    })
+    group
+        .iter()
+        .any(|member| member.totals.failures >= least || member.totals.at_least(slow_from) >= least)
 }
 
 /// Compares the failures of an endpoint with its peers but for the worst third, so that a few sick
 /// peers do not hide it. A smaller reference could not tell a rate of one in three on a route with
 /// few calls.
-fn failure_finding(group: &[Member<'_>], at: usize) -> Option<Finding> {
+fn failure_finding(group: &[Member<'_>], at: usize, needed: Evidence) -> Option<Finding> {
     let own = &group[at].totals;
-    if own.failures < MIN_BAD {
+    if own.failures < needed.bad {
         return None;
     }
     let slices = group[at].cell.window.slices_with_failures();
     let all_failed = own.successes == 0 && slices >= 2;
-    if slices < MIN_BAD_SLICES && !all_failed {
+    if slices < needed.slices && !all_failed {
         return None;
     }
     let mut peers: Vec<&Totals> = others(group, at).map(|m| &m.totals).collect();
@@ -878,7 +919,7 @@
     let share = own.failure_share();
     let peer_share = peer_failures as f64 / peer_calls as f64;
     if share - peer_share < MIN_FAILURE_EXCESS
-        || fisher_tail(own.failures, own.calls(), peer_failures, peer_calls) > ALPHA
+        || fisher_tail(own.failures, own.calls(), peer_failures, peer_calls) > needed.alpha
     {
         return None;
     }
@@ -894,9 +935,9 @@
 
 /// Compares the share of slow calls of an endpoint with its peers. A call is slow by the median
 /// of the medians of the peers, so a slowdown of all endpoints moves the reference along.
-fn latency_finding(group: &[Member<'_>], at: usize) -> Option<Finding> {
+fn latency_finding(group: &[Member<'_>], at: usize, needed: Evidence) -> Option<Finding> {
     let member = &group[at];
-    if !member.warm || member.totals.successes < MIN_BAD {
+    if !member.warm || member.totals.successes < needed.bad {
         return None;
     }
     let mut medians: Vec<usize> = Vec::with_capacity(group.len());
@@ -908,11 +949,11 @@
     let reference = *medians.select_nth_unstable(middle).1;
     let slow_from = reference + SLOW_BUCKETS;
     let slow = member.totals.at_least(slow_from);
-    if slow < MIN_BAD {
+    if slow < needed.bad {
         return None;
     }
     let slices = member.cell.window.slow_slices(slow_from);
-    if slices.most < MIN_SLOW_SLICES && slices.newest_all < MIN_BAD_SLICES {
+    if slices.most < needed.slow_slices && slices.newest_all < needed.slices {
         return None;
     }
     let peer_calls: u64 = others(group, at).map(|m| m.totals.successes).sum();
@@ -923,7 +964,7 @@
     let share = slow as f64 / member.totals.successes as f64;
     let peer_share = peer_slow as f64 / peer_calls as f64;
     if share - peer_share < MIN_SLOW_EXCESS
-        || fisher_tail(slow, member.totals.successes, peer_slow, peer_calls) > ALPHA
+        || fisher_tail(slow, member.totals.successes, peer_slow, peer_calls) > needed.alpha
     {
         return None;
     }
