Require five mostly slow slices where some calls are fast

The false ejection left in the healthy week was an upstream that paused twice within 4 s, with each pause reaching into a second slice: four slices in which most calls were slow. An upstream that is 10 times slower has slices with slow calls only and is found by three of those.

--- a/crates/health/src/arbiter.rs
+++ b/crates/health/src/arbiter.rs
@@ -45,9 +45,8 @@
 
 /// A service of 14 endpoints with two routes makes 10^8 comparisons a week for each kind of test;
 /// most have no bad call at all. A pause of an upstream for a few hundred milliseconds makes many
-/// calls slow in two slices, and one slow call of ordinary noise may make most calls of a third
-/// one slow at low load.
-const ALONE: Evidence = Evidence { alpha: 1e-8, bad: 3, slices: 3, slow_slices: 4 };
+/// calls slow in two slices, and two pauses within the window do so in four.
+const ALONE: Evidence = Evidence { alpha: 1e-8, bad: 3, slices: 3, slow_slices: 5 };
 
 /// For an endpoint that was just found to be bad in the same way on another route. Few of the
 /// endpoints get here without a fault, so a false alarm of one comparison in a thousand is rare.
