Use new findings for the other routes in the same tick

A finding supported the other routes of the endpoint only in the next tick, 250 ms later. The passes over the routes now repeat until nothing is found.

--- a/crates/health/src/arbiter.rs
+++ b/crates/health/src/arbiter.rs
@@ -478,9 +478,17 @@
     pub fn tick(&mut self, lease: QuorumLease, now: Time) -> Vec<Decision> {
         self.guards.retain(|_, newest| now.since(newest.1) < Duration::from_secs(60));
         let mut decisions = Vec::new();
-        let support = self.support(now);
-        for route in self.routes.values_mut() {
-            route.tick(lease, self.first_ejection, &support, now, &mut decisions);
+        let mut support = self.support(now);
+        // What one pass finds supports findings on the other routes in the next one.
+        loop {
+            for route in self.routes.values_mut() {
+                route.tick(lease, self.first_ejection, &support, now, &mut decisions);
+            }
+            let found = self.support(now);
+            if found.is_subset(&support) {
+                break;
+            }
+            support = found;
         }
         self.routes.retain(|_, route| {
             !route.view.endpoints.is_empty() || route.cells.values().any(|c| c.held_until > now)
