Keep a tick linear in the endpoints of a route

Each tick searched the list of endpoints for every endpoint, and so did each update of a route. Membership is now marked when the route is updated.

--- a/crates/health/src/arbiter.rs
+++ b/crates/health/src/arbiter.rs
@@ -214,6 +214,8 @@
     window: Window,
     phase: Phase,
     level: u8,
+    /// Whether the endpoint is among those of the route.
+    listed: bool,
     /// Share of bad calls at the last finding, in thousandths.
     severity: u16,
     /// Any entry may hold an ejection until then.
@@ -233,6 +235,7 @@
             window: Window::default(),
             phase: Phase::Healthy { since: now },
             level: 0,
+            listed: true,
             severity: 0,
             held_until: Time::ZERO,
             found: None,
@@ -385,22 +388,21 @@
             self.routes.insert(view.route.clone(), Route { view, cells });
             return;
         };
+        let before: BTreeMap<&EndpointName, Availability> =
+            route.view.endpoints.iter().map(|e| (&e.name, e.availability)).collect();
+        for cell in route.cells.values_mut() {
+            cell.listed = false;
+        }
         for endpoint in &view.endpoints {
-            let known = route.cells.contains_key(&endpoint.name);
-            let was = route.availability(&endpoint.name);
+            let was = before.get(&endpoint.name).copied().unwrap_or(Availability::Unreachable);
+            let started = matches!(was, Availability::Starting | Availability::Unreachable);
             let cell = route.cells.entry(endpoint.name.clone()).or_insert_with(|| Cell::new(now));
-            let is = endpoint.availability;
-            let started =
-                !known || was == Availability::Starting || was == Availability::Unreachable;
-            if is == Availability::Available && was != is && started {
+            cell.listed = true;
+            if endpoint.availability == Availability::Available && started {
                 cell.ready_since = Some(now);
             }
         }
         route.view = view;
-        let Route { view, cells } = route;
-        cells.retain(|name, cell| {
-            cell.held_until > now || view.endpoints.iter().any(|e| e.name == *name)
-        });
     }
 
     /// Forgets a deleted route.
@@ -408,6 +410,9 @@
         // Entries may still hold ejections, which count again if the route is restored at once.
         if let Some(route) = self.routes.get_mut(route) {
             route.view.endpoints.clear();
+            for cell in route.cells.values_mut() {
+                cell.listed = false;
+            }
         }
     }
 
@@ -534,7 +539,8 @@
 
     fn cell_or_insert(&mut self, held: &HeldEjection, now: Time) -> Option<&mut Cell> {
         let route = self.routes.get_mut(&held.route)?;
-        Some(route.cells.entry(held.endpoint.clone()).or_insert_with(|| Cell::new(now)))
+        let unlisted = || Cell { listed: false, ..Cell::new(now) };
+        Some(route.cells.entry(held.endpoint.clone()).or_insert_with(unlisted))
     }
 }
 
@@ -556,10 +562,9 @@
         now: Time,
         out: &mut Vec<Decision>,
     ) {
-        let view = &self.view;
-        self.cells.retain(|name, cell| {
+        self.cells.retain(|_, cell| {
             cell.window.advance(now);
-            cell.held_until > now || view.endpoints.iter().any(|e| e.name == *name)
+            cell.listed || cell.held_until > now
         });
         self.shed(now, out);
         let findings = self.findings(support, now);
@@ -692,7 +697,6 @@
         out: &mut Vec<Decision>,
     ) {
         let availability = self.availability(name);
-        let known = self.view.endpoints.iter().any(|e| e.name == *name);
         let cell = self.cells.get_mut(name).expect("the caller names a known endpoint");
         let (action, reason) = match cell.phase {
             Phase::Healthy { since } => {
@@ -704,7 +708,7 @@
             }
             Phase::Ejected { probe_at, .. } => {
                 if lease == QuorumLease::Valid
-                    && known
+                    && cell.listed
                     && cell.held_until > now
                     && cell.held_until.since(now) < RENEW_BELOW
                 {
