--- a/crates/health/src/arbiter.rs
+++ b/crates/health/src/arbiter.rs
@@ -44,7 +44,7 @@
 }
 
 /// A service of 14 endpoints with two routes makes 10^8 comparisons a week for each kind of test;
-/// most have no bad call at all. A pause of an upstream for a few hundred milliseconds makes many
+/// most have no bad call at all. An `alpha` of 1e-7 ejects healthy endpoints now and then. A pause of an upstream for a few hundred milliseconds makes many
 /// calls slow in two slices, and two pauses within the window do so in four.
 const ALONE: Evidence = Evidence { alpha: 1e-8, bad: 3, slices: 3, slow_slices: 5 };
 
