--- a/crates/node/src/announce.rs
+++ b/crates/node/src/announce.rs
@@ -54,6 +54,7 @@
     drop(announcements);
     let info = node.info();
     write(&node.directory).apply_table(&info.node, info.incarnation, version, table);
+    crate::health::review(node);
     let node = Arc::clone(node);
     tokio::spawn(async move { push_table(&node).await });
 }
--- a/crates/node/src/health.rs
+++ b/crates/node/src/health.rs
@@ -168,19 +168,23 @@
 }
 
 async fn exchange_service(node: Arc<Node>, service: ServiceName) {
-    let owner = lock(&node.ownership).owner(partition_of(&service)).cloned();
-    let Some(owner) = owner else { return };
     let update = make_update(&node, &service);
-    let sent = node.now();
-    let reply = if owner == node.info().node {
-        node.health.take_update(&node, update)
-    } else {
-        let Some(peer) = node.peers.find(owner.as_str()) else { return };
-        match peer.client.request(Frame::HealthUpdate(Box::new(update))).await {
-            Ok(Frame::HealthReply(reply)) => *reply,
-            _ => return,
-        }
-    };
+    let mut sent = node.now();
+    let Some(mut reply) = send_update(&node, &service, update).await else { return };
+    let held = held_before(&node, &service, reply.list.as_ref());
+    if !held.is_empty() {
+        // A new arbiter must know of the ejections of its predecessor before its list replaces them.
+        let update = HealthUpdate {
+            service: service.clone(),
+            report: None,
+            held,
+            probed: Vec::new(),
+            endpoints: Vec::new(),
+        };
+        sent = node.now();
+        let Some(second) = send_update(&node, &service, update).await else { return };
+        reply.list = second.list;
+    }
     if let Some(list) = &reply.list {
         apply_list(&node, &service, list, sent);
     }
@@ -189,16 +193,59 @@
     }
 }
 
+/// Sends an update to the arbiter of a service and waits for its reply.
+async fn send_update(
+    node: &Node,
+    service: &ServiceName,
+    update: HealthUpdate,
+) -> Option<HealthReply> {
+    let owner = lock(&node.ownership).owner(partition_of(service)).cloned()?;
+    if owner == node.info().node {
+        return Some(node.health.take_update(node, update));
+    }
+    let peer = node.peers.find(owner.as_str())?;
+    match peer.client.request(Frame::HealthUpdate(Box::new(update))).await {
+        Ok(Frame::HealthReply(reply)) => Some(*reply),
+        _ => None,
+    }
+}
+
+/// Ejections of an earlier arbiter that a new one, whose list has come, does not know of.
+fn held_before(
+    node: &Node,
+    service: &ServiceName,
+    list: Option<&EjectionList>,
+) -> Vec<HeldEjection> {
+    let ejections = lock(&node.health.ejections);
+    let (Some(held), Some(list)) = (ejections.get(service), list) else { return Vec::new() };
+    if held.epoch().is_none_or(|epoch| list.epoch <= epoch) {
+        return Vec::new();
+    }
+    held.held(node.now())
+}
+
+/// Looks at the floors again after the endpoints of this node's view have changed.
+pub(crate) fn review(node: &Node) {
+    let now = node.now();
+    let services: Vec<ServiceName> = lock(&node.health.ejections).keys().cloned().collect();
+    for service in services {
+        let views = route_views(node, &service, now);
+        let mut ejections = lock(&node.health.ejections);
+        let Some(held) = ejections.get_mut(&service) else { continue };
+        for view in &views {
+            held.review(view, now);
+        }
+    }
+}
+
 fn make_update(node: &Node, service: &ServiceName) -> HealthUpdate {
     let now = node.now();
     let report = lock(&node.health.recorders).get_mut(service).and_then(|r| r.report(now));
-    let held: Vec<HeldEjection> =
-        lock(&node.health.ejections).get(service).map(|e| e.held(now)).unwrap_or_default();
     let probed = lock(&node.health.probed).remove(service).unwrap_or_default();
     let own = lock(&node.announcements).table();
     let endpoints = own.into_iter().filter(|endpoint| endpoint.service == *service);
     let endpoints = endpoints.map(|endpoint| endpoint.name).collect();
-    HealthUpdate { service: service.clone(), report, held, probed, endpoints }
+    HealthUpdate { service: service.clone(), report, held: Vec::new(), probed, endpoints }
 }
 
 fn apply_list(node: &Node, service: &ServiceName, list: &EjectionList, sent: Time) {
--- a/crates/node/src/owners.rs
+++ b/crates/node/src/owners.rs
@@ -30,9 +30,10 @@
 /// Silence of a member after which its record is removed. Long enough for a restart in place.
 const REMOVE_AFTER: Duration = Duration::from_secs(120);
 
-/// Orders the holders of a partition: a handover moves it within an epoch of the record.
-fn grant_epoch(epoch: Epoch, hop: u32) -> Epoch {
-    Epoch((epoch.0 << HOP_BITS) | u64::from(hop))
+/// Orders the holders of a partition. A handover moves it within an epoch of the record, and each
+/// adds one to what this returns for the record.
+fn grant_epoch(epoch: Epoch) -> Epoch {
+    Epoch(epoch.0 << HOP_BITS)
 }
 
 /// Claims, keeps and gives up partitions.
@@ -87,7 +88,7 @@
 }
 
 fn start_empty(node: &Node, id: PartitionId, epoch: Epoch, now: Time) {
-    let epoch = grant_epoch(epoch, 0);
+    let epoch = grant_epoch(epoch);
     match lock(&node.limiter.owner).gain(now, id, epoch) {
         Ok(()) => info!("partition {id} is owned with empty buckets, epoch {epoch}"),
         Err(err) => warn!("partition {id} was not started: {err}"),
@@ -156,15 +157,15 @@
         HandoverReceived::Refused => HandoverReply::Refused,
         HandoverReceived::Duplicate => HandoverReply::Taken,
         HandoverReceived::Accepted => {
-            let epoch = grant_epoch(handover.right.epoch, handover.right.hop);
-            let accepted =
-                lock(&node.limiter.owner).accept(node.now(), epoch, handover.buckets.clone());
-            if let Err(err) = accepted {
-                warn!("the buckets of partition {id} were not taken: {err}");
-            }
+            let accepted = lock(&node.limiter.owner).accept(node.now(), handover.buckets.clone());
             drop(ownership);
-            node.health.gain(id, epoch);
-            info!("partition {id} was taken over, epoch {epoch}");
+            match accepted {
+                Ok(epoch) => {
+                    node.health.gain(id, epoch);
+                    info!("partition {id} was taken over, epoch {epoch}");
+                }
+                Err(err) => warn!("the buckets of partition {id} were not taken: {err}"),
+            }
             HandoverReply::Taken
         }
     }
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -305,6 +305,7 @@
 
 fn take_table(node: &Node, from: &NodeName, incarnation: Incarnation, table: Table) {
     write(&node.directory).apply_table(from, incarnation, table.version, table.endpoints);
+    crate::health::review(node);
 }
 
 /// Sends the own endpoint table to all peers and waits for their replies.
