--- /dev/null
+++ b/crates/node/tests/common/mod.rs
@@ -0,0 +1,179 @@
+//! Small fakes for the sessions: the platform in memory and a recorder of frames.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Condvar, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use model::{NodeName, Object, ObjectKey, Revision, StoredObject, WriteId};
+use peer::FrameTap;
+use platform::{Changes, Listing, ObjectStore, Precondition, StoreError};
+use wire::{Frame, Header};
+
+/// The platform in memory.
+#[derive(Default)]
+pub struct FakeStore {
+    state: Mutex<State>,
+    written: Condvar,
+    /// Lines of the current session.
+    pub session: Arc<Session>,
+}
+
+#[derive(Default)]
+struct State {
+    revision: u64,
+    objects: BTreeMap<ObjectKey, StoredObject>,
+}
+
+impl FakeStore {
+    /// Writes an object as an operator does.
+    pub fn put(&self, key: ObjectKey, object: Object) -> Revision {
+        let current = self.read(&key).expect("reading from memory works");
+        let precondition =
+            current.map_or(Precondition::Absent, |stored| Precondition::At(stored.revision));
+        let id = platform::fresh_write_id();
+        self.write(&key, precondition, Some(&object), &id).expect("the precondition holds")
+    }
+}
+
+impl ObjectStore for FakeStore {
+    fn list(&self) -> Result<Listing, StoreError> {
+        let state = lock(&self.state);
+        let live = state.objects.values().filter(|stored| stored.object.is_some());
+        Ok(Listing { revision: Revision(state.revision), objects: live.cloned().collect() })
+    }
+
+    fn watch(&self, since: Revision, wait: Duration) -> Result<Changes, StoreError> {
+        // Short, so that a test does not wait for threads that watch.
+        let deadline = Instant::now() + wait.min(Duration::from_millis(200));
+        let mut state = lock(&self.state);
+        while state.revision <= since.0 && Instant::now() < deadline {
+            let left = deadline.saturating_duration_since(Instant::now());
+            state =
+                self.written.wait_timeout(state, left).unwrap_or_else(PoisonError::into_inner).0;
+        }
+        let newer = state.objects.values().filter(|stored| stored.revision > since);
+        let mut objects: Vec<StoredObject> = newer.cloned().collect();
+        objects.sort_by_key(|stored| stored.revision);
+        Ok(Changes { revision: Revision(state.revision), objects })
+    }
+
+    fn read(&self, key: &ObjectKey) -> Result<Option<StoredObject>, StoreError> {
+        Ok(lock(&self.state).objects.get(key).cloned())
+    }
+
+    fn write(
+        &self,
+        key: &ObjectKey,
+        precondition: Precondition,
+        object: Option<&Object>,
+        write_id: &WriteId,
+    ) -> Result<Revision, StoreError> {
+        let mut state = lock(&self.state);
+        let stored = state.objects.get(key).filter(|stored| stored.object.is_some());
+        let current = stored.map(|stored| stored.revision);
+        let holds = match precondition {
+            Precondition::Absent => current.is_none(),
+            Precondition::At(revision) => current == Some(revision),
+        };
+        if !holds {
+            return Err(StoreError::Conflict { current });
+        }
+        state.revision += 1;
+        let revision = Revision(state.revision);
+        let (key, write_id, object) = (key.clone(), write_id.clone(), object.cloned());
+        let what = if object.is_some() { "write" } else { "delete" };
+        self.session.add(format!("platform: {what} {key}"));
+        state.objects.insert(key.clone(), StoredObject { key, revision, write_id, object });
+        self.written.notify_all();
+        Ok(revision)
+    }
+}
+
+/// The lines of a session, in the order of their events.
+#[derive(Default)]
+pub struct Session {
+    lines: Mutex<Vec<String>>,
+}
+
+impl Session {
+    /// Adds a line.
+    pub fn add(&self, line: String) {
+        lock(&self.lines).push(line);
+    }
+
+    /// Takes the lines so far.
+    pub fn take(&self) -> Vec<String> {
+        std::mem::take(&mut lock(&self.lines))
+    }
+}
+
+/// Records the frames that one node sends.
+pub struct Tap {
+    pub node: &'static str,
+    pub session: Arc<Session>,
+}
+
+impl FrameTap for Tap {
+    fn sent(&self, to: &NodeName, frame: &Frame) {
+        if let Some(text) = describe(frame) {
+            self.session.add(format!("{} -> {to}: {text}", self.node));
+        }
+    }
+
+    fn received(&self, _from: &NodeName, _frame: &Frame) {}
+}
+
+/// The parts of a frame that are the same in each run. Heartbeats, health reports and token requests
+/// come at any time and are left out.
+fn describe(frame: &Frame) -> Option<String> {
+    Some(match frame {
+        Frame::Call(call) => format!(
+            "Call {} {} to {} on route {} for {:?}, wait {:?}, headers {}, body {} bytes{}",
+            call.head.method,
+            call.head.target,
+            call.endpoint,
+            call.route,
+            call.account.as_ref().map(|(account, _)| account.as_str()),
+            call.patience,
+            headers(&call.head.headers),
+            call.body.bytes.len(),
+            end(call.body.last),
+        ),
+        Frame::CallBody(part) => format!("CallBody {} bytes{}", part.bytes.len(), end(part.last)),
+        Frame::Refused { code, .. } => format!("Refused {code}"),
+        Frame::Failed { code, .. } => format!("Failed {code}"),
+        Frame::Answer(answer) => format!(
+            "Answer {}, headers {}, body {} bytes{}",
+            answer.status,
+            headers(&answer.headers),
+            answer.body.bytes.len(),
+            end(answer.body.last),
+        ),
+        Frame::AnswerBody { part, .. } => {
+            format!("AnswerBody {} bytes{}", part.bytes.len(), end(part.last))
+        }
+        Frame::Fence { .. } => "Fence".to_owned(),
+        Frame::Fenced { status, .. } => format!("Fenced {status:?}"),
+        Frame::Table(table) => {
+            let state = |e: &model::Endpoint| format!("{} {:?}", e.name, e.state);
+            let endpoints: Vec<String> = table.endpoints.iter().map(state).collect();
+            format!("Table [{}]", endpoints.join(", "))
+        }
+        Frame::HandoverReply(reply) => format!("HandoverReply {reply:?}"),
+        _ => return None,
+    })
+}
+
+fn headers(headers: &[Header]) -> String {
+    let mut names: Vec<&str> = headers.iter().map(|header| &*header.name).collect();
+    names.sort_unstable();
+    format!("[{}]", names.join(" "))
+}
+
+fn end(last: bool) -> &'static str {
+    if last { ", end" } else { "" }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
