--- a/crates/node/src/sync.rs
+++ b/crates/node/src/sync.rs
@@ -231,6 +231,11 @@
     blocking(move || {
         let current = store.read(&key)?;
         let live = current.filter(|stored| stored.object.is_some());
+        if let Some(stored) = live.as_ref().filter(|stored| stored.object.as_ref() == Some(&object))
+        {
+            // Written before; the replica has not seen it yet.
+            return Ok(stored.revision);
+        }
         let precondition =
             live.map_or(Precondition::Absent, |stored| Precondition::At(stored.revision));
         let deadline = std::time::Instant::now() + REGISTER_TIMEOUT;
