Keep the endpoints of a stopping node until its calls are finished

A stopping node refuses announcements, so after 3 s its own endpoints expired and the guard refused what was queued at them. Found by reading; the process test of the graceful stop covers it.

--- a/crates/node/src/announce.rs
+++ b/crates/node/src/announce.rs
@@ -36,6 +36,11 @@
 
 /// Drops endpoints whose announcements have stopped.
 pub(crate) fn expire(node: &Arc<Node>) {
+    // A stopping node takes no announcements. Its endpoints must not count as gone for that reason,
+    // or calls in their queues would be refused instead of finished.
+    if node.phase() != Phase::Serving {
+        return;
+    }
     let gone = lock(&node.announcements).expire(node.now());
     if gone.is_empty() {
         return;
