Let an operator forget a node that will not come back

Members that are silent are removed one at a time by a node with a valid lease. After the loss of a majority nobody has one, so the fleet would refuse keyed calls until those nodes return; the member list can now be made smaller by hand.

--- a/crates/operator/src/commands/parser.rs
+++ b/crates/operator/src/commands/parser.rs
@@ -7,8 +7,8 @@
 
 use bpaf::{Parser, construct, long, positional, pure};
 use model::{
-    Access, AccountName, Burst, EndpointName, KeyId, Kind, ObjectKey, Percent, Rate, RequestId,
-    Revision, RouteName, Selector, ServiceName,
+    Access, AccountName, Burst, EndpointName, KeyId, Kind, NodeName, ObjectKey, Percent, Rate,
+    RequestId, Revision, RouteName, Selector, ServiceName,
 };
 
 use super::{
@@ -117,7 +117,18 @@
 }
 
 fn fleet() -> impl Parser<Command> {
-    leaf("state", "Show the fleet as the first reachable node sees it", pure(Action::FleetState))
+    let state = leaf(
+        "state",
+        "Show the fleet as the first reachable node sees it",
+        pure(Action::FleetState),
+    );
+    // The fleet removes a silent member itself only while a majority is left to confirm it.
+    let forget = leaf(
+        "forget",
+        "Remove the record of a node that will not come back; its process must have ended",
+        deleted::<NodeName>(Kind::Node),
+    );
+    construct!([state, forget])
 }
 
 fn mark(change: MarkChange) -> impl Parser<Action> {
--- a/crates/operator/tests/commands.rs
+++ b/crates/operator/tests/commands.rs
@@ -536,3 +536,27 @@
     "#]],
     );
 }
+
+/// Guards against a fleet that can't confirm anything any more after most of its nodes were lost for
+/// good: only an operator can then make the member list smaller.
+#[test]
+fn a_lost_node_is_forgotten() {
+    let platform = platform();
+    let record = model::Object::Node(model::NodeRecord {
+        domain: "mid-a".parse().unwrap(),
+        peer_addr: "127.0.0.1:1".parse().unwrap(),
+        operator_addr: "127.0.0.1:2".parse().unwrap(),
+        incarnation: model::Incarnation(1),
+    });
+    let key = ObjectKey::new(Kind::Node, "shop-1");
+    let id = fresh_write_id();
+    store(&platform).write(&key, Precondition::Absent, Some(&record), &id).unwrap();
+    check(ran(Some(&platform), &[], "fleet forget shop-1"), expect![[r#"
+        node/shop-1 accepted at revision 2
+        exit 0
+    "#]]);
+    check(ran(Some(&platform), &[], "fleet forget shop-1"), expect![[r#"
+        error: 3002 The object does not exist. (node/shop-1)
+        exit 2
+    "#]]);
+}
