--- /dev/null
+++ b/crates/caller/tests/server/common.rs
@@ -0,0 +1,218 @@
+//! A server with a small handler, and raw connections to it.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use caller::{CallerConfig, CallerHandler, CallerRequest, PendingAnswer, Shutdown, serve};
+use hyper::http::{HeaderValue, Response, StatusCode};
+use model::{RequestId, ResultCode};
+use payload::{BodyCut, BodyLimits, Payload};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio::time::timeout;
+
+/// Longest wait for anything that a test expects to happen.
+pub const PATIENCE: Duration = Duration::from_secs(5);
+
+/// Size of the chunks of a streamed answer, in bytes.
+const CHUNK_BYTES: usize = 16 * 1024;
+
+/// Answers by path: `/echo` tells what arrived, `/hang` never answers, `/slow` after 300 ms,
+/// `/chunked/N` and `/known/N` stream N bytes, `/cut` and `/cut-known` break off.
+#[derive(Default)]
+pub struct Handler {
+    pub refused: Mutex<Vec<u16>>,
+    pub served: AtomicUsize,
+    pub dropped: AtomicUsize,
+    pub chunks_sent: AtomicUsize,
+}
+
+pub struct Server {
+    pub addr: SocketAddr,
+    pub handler: Arc<Handler>,
+    pub stop: watch::Sender<bool>,
+    pub task: JoinHandle<()>,
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+pub fn config() -> CallerConfig {
+    CallerConfig {
+        max_connections: 16,
+        max_head_bytes: 8192,
+        idle_timeout: Duration::from_millis(500),
+        body: BodyLimits { stall_timeout: Duration::from_millis(300), max_bytes: 1000 },
+    }
+}
+
+pub async fn start(cfg: CallerConfig) -> Server {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let handler = Arc::new(Handler::default());
+    let (stop, shutdown): (_, Shutdown) = watch::channel(false);
+    let task = tokio::spawn(serve(listener, cfg, Shared(Arc::clone(&handler)).boxed(), shutdown));
+    Server { addr, handler, stop, task }
+}
+
+/// Connects and sends `request`.
+pub async fn send(addr: SocketAddr, request: impl AsRef<[u8]>) -> TcpStream {
+    let mut stream = TcpStream::connect(addr).await.unwrap();
+    stream.write_all(request.as_ref()).await.unwrap();
+    stream
+}
+
+/// Reads until the server closes.
+pub async fn read_to_end(stream: &mut TcpStream) -> String {
+    let mut buf = Vec::new();
+    let read = timeout(PATIENCE, stream.read_to_end(&mut buf)).await;
+    // A reset after the answer is as good as an end of the connection.
+    let _ = read.expect("the server should close the connection");
+    String::from_utf8_lossy(&buf).into_owned()
+}
+
+/// Reads until `text` has arrived.
+pub async fn read_until(stream: &mut TcpStream, text: &str) -> String {
+    let mut seen = String::new();
+    while !seen.contains(text) {
+        let mut buf = [0; 4096];
+        let read = timeout(PATIENCE, stream.read(&mut buf)).await;
+        let count = read.unwrap_or_else(|_| panic!("no {text:?} after {seen:?}")).unwrap();
+        assert!(count > 0, "closed before {text:?}: {seen:?}");
+        seen.push_str(&String::from_utf8_lossy(&buf[..count]));
+    }
+    seen
+}
+
+/// Status and code of each answer in `text`, for example `200, 400 1014`.
+pub fn summary(text: &str) -> String {
+    let answers = text.split("HTTP/1.").skip(1).map(|answer| {
+        let status = answer.get(2..5).unwrap_or(answer);
+        let code = answer.split_once("\"code\":").map(|(_, rest)| rest);
+        let code = code.and_then(|rest| rest.split([',', '}']).next());
+        code.map_or(status.to_owned(), |code| format!("{status} {code}"))
+    });
+    answers.collect::<Vec<_>>().join(", ")
+}
+
+/// Waits until a condition holds.
+pub async fn eventually(what: &str, holds: impl Fn() -> bool) {
+    let waited = timeout(PATIENCE, async {
+        while !holds() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    });
+    waited.await.unwrap_or_else(|_| panic!("{what}"));
+}
+
+struct Shared(Arc<Handler>);
+
+impl Shared {
+    fn boxed(self) -> Arc<dyn CallerHandler> {
+        Arc::new(self)
+    }
+}
+
+/// Counts futures that are dropped before they are done.
+struct DropCount(Arc<Handler>);
+
+impl Drop for DropCount {
+    fn drop(&mut self) {
+        self.0.dropped.fetch_add(1, Ordering::SeqCst);
+    }
+}
+
+impl CallerHandler for Shared {
+    fn handle(&self, req: CallerRequest) -> PendingAnswer {
+        let handler = Arc::clone(&self.0);
+        handler.served.fetch_add(1, Ordering::SeqCst);
+        Box::pin(async move {
+            let path = req.target.split('?').next().unwrap_or_default().to_owned();
+            match path.as_str() {
+                "/echo" => echo(req).await,
+                "/hang" => {
+                    let _count = DropCount(handler);
+                    std::future::pending().await
+                }
+                "/slow" => {
+                    tokio::time::sleep(Duration::from_millis(300)).await;
+                    text(200, "slow")
+                }
+                "/204" => text(204, ""),
+                "/304" => text(304, ""),
+                "/empty" => text(200, ""),
+                "/cut" => streamed(handler, CHUNK_BYTES, Some(BodyCut::SenderLost)),
+                "/cut-known" => {
+                    let answer = streamed(handler, CHUNK_BYTES, Some(BodyCut::SenderLost));
+                    with_length(answer, 2 * CHUNK_BYTES)
+                }
+                path => sized(handler, path),
+            }
+        })
+    }
+
+    fn refused(&self, _id: &RequestId, code: ResultCode) {
+        self.0.refused.lock().unwrap().push(code.number());
+    }
+}
+
+async fn echo(mut req: CallerRequest) -> Response<Payload> {
+    let mut received = 0;
+    loop {
+        match req.body.next().await {
+            None => return text(200, &format!("{} {} body={received}", req.method, req.target)),
+            Some(Ok(chunk)) => received += chunk.len(),
+            Some(Err(cut)) => return text(400, &format!("{cut:?}")),
+        }
+    }
+}
+
+fn sized(handler: Arc<Handler>, path: &str) -> Response<Payload> {
+    let size = |prefix| path.strip_prefix(prefix).and_then(|size: &str| size.parse().ok());
+    if let Some(size) = size("/chunked/") {
+        return streamed(handler, size, None);
+    }
+    if let Some(size) = size("/known/") {
+        return with_length(streamed(handler, size, None), size);
+    }
+    text(200, "ok")
+}
+
+fn text(status: u16, text: &str) -> Response<Payload> {
+    let mut answer = Response::new(Payload::Full(Bytes::from(text.to_owned())));
+    *answer.status_mut() = StatusCode::from_u16(status).unwrap();
+    answer
+}
+
+fn with_length(mut answer: Response<Payload>, length: usize) -> Response<Payload> {
+    answer.headers_mut().insert("content-length", HeaderValue::from(length));
+    answer
+}
+
+fn streamed(handler: Arc<Handler>, size: usize, cut: Option<BodyCut>) -> Response<Payload> {
+    let (tx, body) = Payload::channel();
+    tokio::spawn(async move {
+        let mut left = size;
+        while left > 0 {
+            let count = left.min(CHUNK_BYTES);
+            if tx.send(Bytes::from(vec![b'x'; count])).await.is_err() {
+                return;
+            }
+            handler.chunks_sent.fetch_add(1, Ordering::SeqCst);
+            left -= count;
+        }
+        match cut {
+            None => tx.finish().await,
+            Some(cut) => tx.cut(cut).await,
+        }
+    });
+    Response::new(body)
+}
