Refuse requests with ambiguous framing with a numbered code

Cause: hyper takes a request with both transfer-encoding and content-length and drops one of the two lengths, so a check after it can't see the conflict, and it answers heads that it can't parse with an empty 400 or 431. It also takes spaces after a chunk size.

Ruled out: looking at the headers in the service (the length is gone when it follows the transfer coding, and removed when it precedes it), and rewriting hyper's answer on the write side (an answer body could look like it). A stream wrapper that checks each head before hyper sees it costs a second parse of the head and the chunk sizes; bodies of known length are still read without a copy. A refused head is replaced by a substitute that the service answers, so that answers stay in order and every refusal is counted and carries a request id.

Before: both lengths given 200, equal repeated lengths 200, other malformed heads an empty 400 or 431, and '3 \r\n' as a chunk size 200. After: 1014 or 1015 in the JSON body with 'connection: close'; the malformed chunk cuts the body.

Conclusion: the framing that this node acts on is the only one that the bytes allow.

--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -3,6 +3,8 @@
 //! The crate turns bytes from a caller into a [`CallerRequest`] that carries no key in its head any
 //! more, and protects the process from slow and hostile callers.
 
+mod chunks;
+mod framing;
 mod sanitize;
 mod server;
 
--- a/crates/caller/src/server.rs
+++ b/crates/caller/src/server.rs
@@ -4,6 +4,7 @@
 use std::future::Future;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use hyper::body::{Body, Incoming};
@@ -20,12 +21,10 @@
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
 use tokio::time::timeout;
 
+use crate::framing::{CheckedStream, MAX_HEADERS, Refusal};
 use crate::sanitize::{PresentedKey, sanitize};
 use crate::{REQUEST_ID_HEADER, error_answer, error_document};
 
-/// Most headers of a request.
-const MAX_HEADERS: usize = 100;
-
 /// Time allowed to write the refusal of a connection.
 const REFUSAL_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -120,9 +119,13 @@
 ) {
     let _ = stream.set_nodelay(true);
     let limits = cfg.body;
+    let refusal = Arc::new(Refusal::default());
+    let stream = CheckedStream::new(stream, cfg.max_head_bytes, Arc::clone(&refusal));
+    let requests = AtomicU64::new(0);
     let service = service_fn(move |req| {
         let handler = Arc::clone(&handler);
-        async move { Ok::<_, Infallible>(answer(req, limits, &*handler).await) }
+        let refused = refusal.of(requests.fetch_add(1, Ordering::Relaxed) + 1);
+        async move { Ok::<_, Infallible>(answer(req, refused, limits, &*handler).await) }
     });
     let conn = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -143,12 +146,14 @@
 
 async fn answer(
     req: Request<Incoming>,
+    refused: Option<ResultCode>,
     limits: BodyLimits,
     handler: &dyn CallerHandler,
 ) -> Response<Payload> {
     let id = random_request_id();
     let (head, body) = req.into_parts();
-    let mut answer = match receive(&id, head, body, limits) {
+    let received = refused.map_or_else(|| receive(&id, head, body, limits), Err);
+    let mut answer = match received {
         Ok(req) => handler.handle(req).await,
         Err(code) => {
             handler.refused(&id, code);
--- a/crates/caller/tests/server/requests.rs
+++ b/crates/caller/tests/server/requests.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::common::{config, eventually, read_to_end, read_until, send, start, summary};
+use caller::CallerConfig;
 use tokio::io::AsyncWriteExt;
 
 /// Sends a request and compares status and code of the answers, after which the server must close.
@@ -114,3 +115,104 @@
     }
     assert!(written < 40, "{written} bytes were taken in {:?}", started.elapsed());
 }
+
+/// Guards against a head that this node and another program on the way read differently, and
+/// against a refusal without a numbered code.
+#[tokio::test]
+async fn ambiguous_heads_are_refused() {
+    let post = |headers: &str, body: &str| format!("POST /echo HTTP/1.1\r\n{headers}\r\n{body}");
+    let chunked = "transfer-encoding: chunked\r\n";
+    check(post(&format!("content-length: 5\r\n{chunked}"), "0\r\n\r\n"), "400 1014").await;
+    check(post(&format!("{chunked}content-length: 5\r\n"), "0\r\n\r\n"), "400 1014").await;
+    check(post(&format!("{chunked}{chunked}"), "0\r\n\r\n"), "400 1014").await;
+    check(post("transfer-encoding: gzip, chunked\r\n", "0\r\n\r\n"), "400 1014").await;
+    check(post("transfer-encoding: chunked, identity\r\n", "0\r\n\r\n"), "400 1014").await;
+    check(post("content-length: 3\r\ncontent-length: 4\r\n", "abcd"), "400 1014").await;
+    check(post("content-length: 3\r\ncontent-length: 3\r\n", "abc"), "400 1014").await;
+    check(post("content-length: 3, 3\r\n", "abc"), "400 1014").await;
+    check(post("content-length: +3\r\n", "abc"), "400 1014").await;
+    check(post("content-length: 99999999999999999999\r\n", ""), "400 1014").await;
+    check("POST / HTTP/1.0\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n", "400 1014").await;
+}
+
+#[tokio::test]
+async fn malformed_heads_are_refused() {
+    check("GET / HTTP/1.1\r\nx-a: 1\r\n folded\r\n\r\n", "400 1014").await;
+    check("GET / HTTP/1.1\nx-a: 1\n\n", "400 1014").await;
+    check("GET / HTTP/1.1\r\nx-a: 1\n\r\n", "400 1014").await;
+    check("GET / HTTP/1.1\r\nx-a: 1\rx-b: 2\r\n\r\n", "400 1014").await;
+    check("GET / HTTP/1.1\r\nx-a : 1\r\n\r\n", "400 1014").await;
+    check("GET / HTTP/1.1\r\nno colon\r\n\r\n", "400 1014").await;
+    check("GET / HTTP/1.1\r\n: empty\r\n\r\n", "400 1014").await;
+    check(b"GET / HTTP/1.1\r\nx-a: \0\r\n\r\n", "400 1014").await;
+    check("GET  / HTTP/1.1\r\n\r\n", "400 1014").await;
+    check("GET / HTTP/2.0\r\n\r\n", "400 1014").await;
+    check("G\u{e9}T / HTTP/1.1\r\n\r\n", "400 1014").await;
+    check("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n", "400 1014").await;
+    check(b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\r\n\r\n", "400 1014").await;
+}
+
+#[tokio::test]
+async fn oversized_heads_are_refused() {
+    let long = "x".repeat(9000);
+    check(format!("GET /{long} HTTP/1.1\r\n\r\n"), "431 1015").await;
+    check(format!("GET / HTTP/1.1\r\nx-a: {long}\r\n\r\n"), "431 1015").await;
+    check(format!("GET / HTTP/1.1\r\nx-a: {long}"), "431 1015").await;
+    check(format!("GET / HTTP/1.1\r\n{}\r\n", "a: b\r\n".repeat(101)), "431 1015").await;
+    check(format!("GET / HTTP/1.1\r\n{}\r\n", "a: b\r\n".repeat(100)), "200").await;
+}
+
+/// Guards against a second request that is hidden in the body of the first.
+#[tokio::test]
+async fn refusal_ends_the_connection() {
+    let hidden = "GET /hidden HTTP/1.1\r\n\r\n";
+    let request = format!(
+        "GET / HTTP/1.1\r\n\r\nPOST / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\
+         content-length: 4\r\n\r\n0\r\n\r\n{hidden}"
+    );
+    check(request, "200, 400 1014").await;
+}
+
+/// Guards against a check of heads that loses its place when a request arrives in pieces.
+#[tokio::test]
+async fn requests_split_at_any_byte_are_served() {
+    let text = "POST /echo HTTP/1.1\r\ncontent-length: 3\r\n\r\nabc\r\nPOST /echo HTTP/1.1\r\n\
+                transfer-encoding: chunked\r\n\r\n2;e=1\r\nab\r\n0A\r\n0123456789\r\n0\r\nt: 1\r\n\
+                \r\nGET /echo HTTP/1.1\r\nconnection: close\r\n\r\n";
+    let server = start(CallerConfig { max_connections: text.len(), ..config() }).await;
+    let addr = server.addr;
+    let tries = (1..text.len()).map(|split| async move {
+        let (first, second) = text.split_at(split);
+        let mut stream = send(addr, first).await;
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        stream.write_all(second.as_bytes()).await.unwrap();
+        let answers = read_to_end(&mut stream).await;
+        let bodies: Vec<_> = answers.split("body=").skip(1).map(|rest| rest.get(..2)).collect();
+        let expected = [Some("3H"), Some("12"), None];
+        assert_eq!(bodies, expected, "split at {split}: {answers}");
+        assert!(answers.ends_with("body=0"), "split at {split}: {answers}");
+    });
+    futures_util::future::join_all(tries).await;
+}
+
+/// Guards against a chunked body whose end two programs see at different places.
+#[tokio::test]
+async fn malformed_chunks_are_cut() {
+    let server = start(config()).await;
+    for chunks in [
+        "3\nabc\r\n0\r\n\r\n",
+        "3 \r\nabc\r\n0\r\n\r\n",
+        "0x3\r\nabc\r\n0\r\n\r\n",
+        "-3\r\nabc\r\n0\r\n\r\n",
+        "3\r\nabcd\r\n0\r\n\r\n",
+        "3\r\nabc\n0\r\n\r\n",
+        "3;a\n=b\r\nabc\r\n0\r\n\r\n",
+        "10000000000000003\r\nabc\r\n0\r\n\r\n",
+        "3\r\nabc\r\n0\r\na: b\n\r\n\r\n",
+    ] {
+        let head = "POST /echo HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n";
+        let mut stream = send(server.addr, format!("{head}{chunks}")).await;
+        let answer = read_to_end(&mut stream).await;
+        assert!(!answer.contains("body="), "{chunks:?}: {answer}");
+    }
+}
