Allow limits on heads below 8 KB

Cause: the settings allow 'max_head' from 1 KB, but hyper panics if its buffer is smaller than 8192 bytes, so every connection task panicked and no caller was served.

Ruled out: raising the least allowed setting, since the head check enforces the exact limit anyway.

Before: with a limit of 1024 bytes a connection ended without an answer. After: a head of about 900 bytes gets 200 and one over 1024 bytes 431 with code 1015.

Conclusion: the library's buffer has its own minimum, independent of the setting.

--- a/crates/caller/src/server.rs
+++ b/crates/caller/src/server.rs
@@ -25,6 +25,10 @@
 use crate::sanitize::{PresentedKey, sanitize};
 use crate::{REQUEST_ID_HEADER, error_answer, error_document};
 
+/// Smallest buffer that the HTTP library takes, in bytes. Smaller limits on heads are enforced by
+/// [`CheckedStream`].
+const MIN_BUFFER_BYTES: usize = 8192;
+
 /// Time allowed to write the refusal of a connection.
 const REFUSAL_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -130,7 +134,7 @@
     let conn = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(cfg.idle_timeout)
-        .max_buf_size(cfg.max_head_bytes)
+        .max_buf_size(cfg.max_head_bytes.max(MIN_BUFFER_BYTES))
         .max_headers(MAX_HEADERS)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(conn);
--- a/crates/caller/tests/server/requests.rs
+++ b/crates/caller/tests/server/requests.rs
@@ -173,6 +173,18 @@
     check(request, "200, 400 1014").await;
 }
 
+/// Guards against settings that the HTTP library does not take: it panics below 8192 bytes.
+#[tokio::test]
+async fn small_limits_on_heads_hold() {
+    let server = start(CallerConfig { max_head_bytes: 1024, ..config() }).await;
+    let ask = |size| format!("GET /{} HTTP/1.1\r\nconnection: close\r\n\r\n", "x".repeat(size));
+    for (size, expected) in [(900, "200"), (1024, "431 1015")] {
+        let answer = read_to_end(&mut send(server.addr, ask(size)).await).await;
+        assert_eq!(summary(&answer), expected);
+    }
+    assert_eq!(*server.handler.refused.lock().unwrap(), [1015]);
+}
+
 /// Guards against a check of heads that loses its place when a request arrives in pieces.
 #[tokio::test]
 async fn requests_split_at_any_byte_are_served() {
