Let idle connections give way to new callers

Cause: the connection limit refused new callers while others held connections without a request for up to the idle timeout, so a caller with a byte a second or many silent connections could keep everybody else out. A refused connection was also closed with the caller's bytes unread, which resets it.

Ruled out: closing the newest connections, or any that was used within the last second; their next request may already be on its way. Running requests never give way.

Before: with all connections idle a new caller got 503 with code 1021; a caller that sends 4 MB to a full server got a reset. After: the connection that has been idle longest, and for at least 1 s, closes and the new caller is served; the refused caller reads its 503.

Conclusion: only running requests and connections in use fill the limit.

--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod chunks;
 mod framing;
+mod idle;
 mod sanitize;
 mod server;
 
--- a/crates/caller/src/server.rs
+++ b/crates/caller/src/server.rs
@@ -22,6 +22,7 @@
 use tokio::time::timeout;
 
 use crate::framing::{CheckedStream, MAX_HEADERS, Refusal};
+use crate::idle::{Closing, ConnectionUse, IdleConnections};
 use crate::sanitize::{PresentedKey, sanitize};
 use crate::{REQUEST_ID_HEADER, error_answer, error_document};
 
@@ -29,7 +30,10 @@
 /// [`CheckedStream`].
 const MIN_BUFFER_BYTES: usize = 8192;
 
-/// Time allowed to write the refusal of a connection.
+/// Longest wait of a new caller for an idle connection to close in its favour.
+const REPLACE_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// Time allowed to write the refusal of a connection, and then again for the caller to read it.
 const REFUSAL_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Limits on callers.
@@ -86,6 +90,7 @@
     mut shutdown: Shutdown,
 ) {
     let permits = Arc::new(Semaphore::new(cfg.max_connections));
+    let idle = Arc::new(IdleConnections::default());
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -99,15 +104,27 @@
                 continue;
             }
         };
-        match Arc::clone(&permits).try_acquire_owned() {
-            Ok(permit) => {
-                let handler = Arc::clone(&handler);
-                tokio::spawn(connection(stream, cfg.clone(), handler, shutdown.clone(), permit));
-            }
-            Err(_) => {
-                tokio::spawn(refuse_connection(stream));
-            }
+        let permit = Arc::clone(&permits).try_acquire_owned();
+        let replaces = permit.is_err() && idle.close_longest() == Closing::Started;
+        if permit.is_err() && !replaces {
+            tokio::spawn(refuse_connection(stream));
+            continue;
         }
+        let (permits, cfg, idle) = (Arc::clone(&permits), cfg.clone(), Arc::clone(&idle));
+        let (handler, shutdown) = (Arc::clone(&handler), shutdown.clone());
+        tokio::spawn(async move {
+            let permit = match permit {
+                Ok(permit) => Some(permit),
+                Err(_) => {
+                    let released = timeout(REPLACE_TIMEOUT, permits.acquire_owned()).await;
+                    released.ok().and_then(Result::ok)
+                }
+            };
+            match permit {
+                Some(permit) => connection(stream, cfg, handler, shutdown, idle, permit).await,
+                None => refuse_connection(stream).await,
+            }
+        });
     }
     drop(listener);
     let all = u32::try_from(cfg.max_connections).unwrap_or(u32::MAX);
@@ -119,6 +136,7 @@
     cfg: CallerConfig,
     handler: Arc<dyn CallerHandler>,
     mut shutdown: Shutdown,
+    idle: Arc<IdleConnections>,
     _permit: OwnedSemaphorePermit,
 ) {
     let _ = stream.set_nodelay(true);
@@ -126,10 +144,16 @@
     let refusal = Arc::new(Refusal::default());
     let stream = CheckedStream::new(stream, cfg.max_head_bytes, Arc::clone(&refusal));
     let requests = AtomicU64::new(0);
+    let connection_use = ConnectionUse::new(idle);
+    let close = connection_use.close();
     let service = service_fn(move |req| {
+        let request_use = Box::new(connection_use.begin_request());
         let handler = Arc::clone(&handler);
         let refused = refusal.of(requests.fetch_add(1, Ordering::Relaxed) + 1);
-        async move { Ok::<_, Infallible>(answer(req, refused, limits, &*handler).await) }
+        async move {
+            let answer = answer(req, refused, limits, &*handler).await;
+            Ok::<_, Infallible>(answer.map(|body| body.hold(request_use)))
+        }
     });
     let conn = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -141,6 +165,7 @@
     let stopping = tokio::select! {
         _ = conn.as_mut() => return,
         stopping = shutdown.wait_for(|stop| *stop) => stopping.is_ok(),
+        () = close.notified() => true,
     };
     if stopping {
         conn.as_mut().graceful_shutdown();
@@ -203,7 +228,15 @@
          content-length: {}\r\nconnection: close\r\n\r\n{document}",
         document.len()
     );
-    let _ = timeout(REFUSAL_TIMEOUT, stream.write_all(text.as_bytes())).await;
+    let write = async {
+        stream.write_all(text.as_bytes()).await?;
+        stream.shutdown().await
+    };
+    if !matches!(timeout(REFUSAL_TIMEOUT, write).await, Ok(Ok(()))) {
+        return;
+    }
+    // Closing with unread bytes resets the connection, and the caller may lose the answer.
+    let _ = timeout(REFUSAL_TIMEOUT, tokio::io::copy(&mut stream, &mut tokio::io::sink())).await;
 }
 
 fn random_request_id() -> RequestId {
--- a/crates/caller/tests/server/connections.rs
+++ b/crates/caller/tests/server/connections.rs
@@ -5,7 +5,8 @@
 
 use crate::common::{config, eventually, read_to_end, read_until, send, start, summary};
 use caller::CallerConfig;
-use tokio::io::AsyncReadExt;
+use futures_util::FutureExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 const CLOSE: &str = "GET / HTTP/1.1\r\nconnection: close\r\n\r\n";
 
@@ -115,3 +116,43 @@
     assert!(answer.contains("connection: close") && answer.ends_with("slow"), "{answer}");
     eventually("the server should end", || server.task.is_finished()).await;
 }
+
+/// Guards against a refusal that is lost because the connection is reset while the caller still
+/// sends its request.
+#[tokio::test]
+async fn refused_callers_can_finish_sending() {
+    let server = start(CallerConfig { max_connections: 1, ..config() }).await;
+    let _running = send(server.addr, "GET /hang HTTP/1.1\r\n\r\n").await;
+    eventually("it should be served", || server.handler.served.load(Ordering::SeqCst) == 1).await;
+    let body = vec![b'x'; 4_000_000];
+    let head = format!("POST / HTTP/1.1\r\ncontent-length: {}\r\n\r\n", body.len());
+    let mut refused = send(server.addr, head).await;
+    refused.write_all(&body).await.expect("the caller can send its body");
+    assert_eq!(summary(&read_to_end(&mut refused).await), "503 1021");
+}
+
+/// Guards against callers that are refused while others hold connections that they do not use.
+#[tokio::test]
+async fn idle_connections_give_way_to_new_callers() {
+    let cfg = CallerConfig { idle_timeout: Duration::from_secs(60), ..config() };
+    let server = start(CallerConfig { max_connections: 3, ..cfg }).await;
+    let mut running = send(server.addr, "GET /hang HTTP/1.1\r\n\r\n").await;
+    let mut oldest = send(server.addr, "GET / HTTP/1.1\r\n\r\n").await;
+    read_until(&mut oldest, "ok").await;
+    let mut silent = send(server.addr, "GET / HT").await;
+    let early = read_to_end(&mut send(server.addr, CLOSE).await).await;
+    assert_eq!(summary(&early), "503 1021", "a connection that was just used is kept");
+    tokio::time::sleep(Duration::from_millis(1100)).await;
+
+    let mut first = send(server.addr, "GET /hang HTTP/1.1\r\n\r\n").await;
+    assert_eq!(read_to_end(&mut oldest).await, "");
+    let mut second = send(server.addr, "GET /hang HTTP/1.1\r\n\r\n").await;
+    assert_eq!(read_to_end(&mut silent).await, "");
+    eventually("both are served", || server.handler.served.load(Ordering::SeqCst) == 4).await;
+
+    let refused = read_to_end(&mut send(server.addr, CLOSE).await).await;
+    assert_eq!(summary(&refused), "503 1021", "running requests do not give way");
+    for stream in [&mut running, &mut first, &mut second] {
+        assert!(stream.read(&mut [0]).now_or_never().is_none(), "a running request was ended");
+    }
+}
