Read on after refusing a request

Cause: a request that is refused by its head or for its size was answered and the connection closed with the rest unread, which resets it; a caller that was still sending lost the answer.

Ruled out: waiting without a limit (a hostile caller could hold the connection), and waiting on every connection (idle ones have nothing unread).

Before: a caller that sends 4 MB after a head with too large a length got a broken pipe. After: it can send for up to 200 ms more and reads its 413, 400 or 431.

Conclusion: the numbered refusal reaches a caller that sends its body without waiting.

--- a/crates/caller/src/framing.rs
+++ b/crates/caller/src/framing.rs
@@ -8,16 +8,19 @@
 //! the framing of bodies to know where the next head starts. The cost is a second look at each
 //! head and at the chunk sizes; bodies of known length are not copied.
 
+use std::future::Future;
 use std::io;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use bytes::{Buf, BytesMut};
 use hyper::http::{HeaderName, HeaderValue, Method, Uri};
 use model::ResultCode;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::Sleep;
 
 use crate::chunks::ChunkScanner;
 
@@ -27,6 +30,9 @@
 /// Longest target that [`Uri`] takes, in bytes.
 const MAX_TARGET_BYTES: usize = u16::MAX as usize - 1;
 
+/// Longest time for which the rest of a refused request is read and dropped.
+const LINGER: Duration = Duration::from_millis(200);
+
 /// Bytes read from the connection at a time.
 const READ_BYTES: usize = 8 * 1024;
 
@@ -61,6 +67,8 @@
     checked: usize,
     /// Heads passed on.
     requests: u64,
+    /// Ends the wait for the caller to close.
+    linger: Option<Pin<Box<Sleep>>>,
 }
 
 /// What the next unchecked byte belongs to.
@@ -92,6 +100,7 @@
             buf: BytesMut::new(),
             checked: 0,
             requests: 0,
+            linger: None,
         }
     }
 
@@ -254,8 +263,27 @@
         Pin::new(&mut self.get_mut().stream).poll_flush(cx)
     }
 
+    /// Closing with unread bytes resets the connection, and the caller may lose the answer. So the
+    /// rest of a request that was not read to its end is dropped for a while.
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_shutdown(cx)
+        let this = self.get_mut();
+        let Some(linger) = &mut this.linger else {
+            ready!(Pin::new(&mut this.stream).poll_shutdown(cx))?;
+            if matches!(this.state, State::Head(_)) {
+                return Poll::Ready(Ok(()));
+            }
+            this.linger = Some(Box::pin(tokio::time::sleep(LINGER)));
+            return Pin::new(this).poll_shutdown(cx);
+        };
+        if linger.as_mut().poll(cx).is_ready() {
+            return Poll::Ready(Ok(()));
+        }
+        loop {
+            this.buf.clear();
+            if ready!(read_more(&mut this.stream, cx, &mut this.buf))? == 0 {
+                return Poll::Ready(Ok(()));
+            }
+        }
     }
 }
 
--- a/crates/caller/tests/server/requests.rs
+++ b/crates/caller/tests/server/requests.rs
@@ -228,3 +228,20 @@
         assert!(!answer.contains("body="), "{chunks:?}: {answer}");
     }
 }
+
+/// Guards against a refusal that is lost because the connection is reset while the caller still
+/// sends its request.
+#[tokio::test]
+async fn refused_requests_can_be_sent_to_the_end() {
+    let rest = vec![b'x'; 4_000_000];
+    for (head, expected) in [
+        ("POST /echo HTTP/1.1\r\ncontent-length: 4000000\r\n\r\n", "413 1016"),
+        ("POST /a/../b HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n3d0900\r\n", "400 1014"),
+        ("GET / HTTP/1.1\r\nx-large: ", "431 1015"),
+    ] {
+        let server = start(config()).await;
+        let mut stream = send(server.addr, head).await;
+        stream.write_all(&rest).await.unwrap_or_else(|err| panic!("{expected}: {err}"));
+        assert_eq!(summary(&read_to_end(&mut stream).await), expected);
+    }
+}
