--- a/crates/standins/src/upstream.rs
+++ b/crates/standins/src/upstream.rs
@@ -128,6 +128,11 @@
         *lock(&self.state.behaviour) = behaviour;
     }
 
+    /// Calls that ran so far.
+    pub fn runs(&self) -> u64 {
+        lock(&self.state.counts).runs
+    }
+
     /// What it has seen so far.
     pub fn counts(&self) -> Counts {
         lock(&self.state.counts).clone()
