Note the platform as reachable as soon as it answers again

Cause: after a failure of the platform a relay noted the next contact only when its watch ended, up to 10 s later on a quiet platform. Until then no partition of a lost owner was claimed, and nodes that are no relays heard of contacts older than PLATFORM_SILENCE and tried the platform themselves.

Ruled out: the confirmation and the wait of a new owner, which took 5.2 s from the claim, and the detection of the lost owner, which took 2 s.

--- a/crates/node/src/sync.rs
+++ b/crates/node/src/sync.rs
@@ -18,8 +18,10 @@
 use crate::shared::{Node, Phase, lock, read, write};
 use crate::view::node_key;
 
-/// How long one watch waits at the platform. A waiting watch counts as one call.
-const WATCH_WAIT: Duration = Duration::from_secs(10);
+/// How long one watch waits at the platform. The end of a watch is the contact that other nodes
+/// hear of a heartbeat later; a longer wait would let their `PLATFORM_SILENCE` of 3 s pass while
+/// nothing changes, and all of them would try the platform.
+const WATCH_WAIT: Duration = Duration::from_millis(1500);
 
 /// Pause after a failed call to the platform.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
@@ -84,7 +86,12 @@
 async fn watch(node: &Arc<Node>) -> Result<(), StoreError> {
     let store = Arc::clone(&node.store);
     let since = read(&node.config).revision();
-    let changes = blocking(move || store.watch(since, WATCH_WAIT)).await?;
+    // After a failure the platform has to be known to answer before a watch may wait for a change.
+    let wait = match node.platform_reachable.load(Ordering::Relaxed) {
+        true => WATCH_WAIT,
+        false => Duration::ZERO,
+    };
+    let changes = blocking(move || store.watch(since, wait)).await?;
     let outcome = write(&node.config).apply_delta(since, changes.revision, changes.objects);
     match outcome {
         // Another node was faster; the next watch starts at the newer revision.
--- a/crates/zinniacross/tests/common/mod.rs
+++ b/crates/zinniacross/tests/common/mod.rs
@@ -48,6 +48,16 @@
     dir: TempDir,
 }
 
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        if let Ok(to) = std::env::var("ZX_KEEP_LOGS") {
+            for (i, node) in self.nodes.iter().enumerate() {
+                let _ = std::fs::copy(&node.log, format!("{to}-{i}.log"));
+            }
+        }
+    }
+}
+
 impl Fleet {
     /// Starts the platform and `count` nodes, `node-0` and so on, and waits until all are members
     /// and hold every partition.
--- a/crates/zinniacross/tests/rates.rs
+++ b/crates/zinniacross/tests/rates.rs
@@ -169,7 +169,8 @@
     setup.fleet.upstreams.clear();
 }
 
-/// Guards against an owner that is paused, resumes without having noticed, and goes on granting.
+/// Guards against an owner that is paused, resumes without having noticed, and goes on granting, and
+/// against shares that stay without an owner although the platform answers again.
 fn check_paused(platform_down: bool) {
     let setup = setup();
     let faults = Faults { down: platform_down, ..Faults::default() };
@@ -179,17 +180,19 @@
     let measured = measure(&setup, |fleet| {
         thread::sleep(seconds(2));
         fleet.signal(0, Signal::Pause);
-        thread::sleep(seconds(9));
+        thread::sleep(seconds(10));
         resumed = Instant::now();
         fleet.signal(0, Signal::Resume);
         thread::sleep(seconds(5));
     });
     let ended = Instant::now();
     check_rate(&measured, started);
-    let paused = served_per_second(&measured.greedy, started + seconds(8), resumed);
+    // A successor grants 2 s + a write + 3 s + 1.2 s after the owner was last heard from.
+    let paused = served_per_second(&measured.greedy, started + seconds(10), resumed);
     let after = served_per_second(&measured.greedy, resumed + seconds(2), ended);
     println!("platform down {platform_down}: {paused:.1}/s while paused, {after:.1}/s after");
-    assert!(paused > 0.3 * f64::from(RATE));
+    let part = if platform_down { 0.3 } else { 0.9 };
+    assert!(paused > part * f64::from(RATE));
     assert!(after > 0.6 * f64::from(RATE));
 }
 
