--- a/crates/caller/src/server.rs
+++ b/crates/caller/src/server.rs
@@ -19,7 +19,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use crate::framing::{CheckedStream, MAX_HEADERS, Refusal};
 use crate::idle::{Closing, ConnectionUse, IdleConnections};
@@ -36,6 +36,14 @@
 /// Time allowed to write the refusal of a connection, and then again for the caller to read it.
 const REFUSAL_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// Time after the request to stop in which connections are still accepted, and in which an idle
+/// connection may still bring a request. A connection that is closed sooner may be closed just as
+/// its caller sends a request, which would then be lost.
+const STOP_GRACE: Duration = Duration::from_secs(1);
+
+/// Pause after a failed accept. Out of file descriptors, the loop would otherwise use a whole core.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
 /// Limits on callers.
 #[derive(Debug, Clone)]
 pub struct CallerConfig {
@@ -79,7 +87,8 @@
     fn refused(&self, id: &RequestId, code: ResultCode);
 }
 
-/// Tells the server to stop: answers get `connection: close` and idle connections are closed.
+/// Tells the server to stop: answers get `connection: close`, connections that stay idle are closed,
+/// and soon the listener.
 pub type Shutdown = watch::Receiver<bool>;
 
 /// Accepts callers until told to stop, then waits for the open connections to end.
@@ -87,71 +96,107 @@
     listener: TcpListener,
     cfg: CallerConfig,
     handler: Arc<dyn CallerHandler>,
-    mut shutdown: Shutdown,
+    shutdown: Shutdown,
 ) {
-    let permits = Arc::new(Semaphore::new(cfg.max_connections));
+    let max_connections = cfg.max_connections;
+    let permits = Arc::new(Semaphore::new(max_connections));
     let idle = Arc::new(IdleConnections::default());
+    let mut stop = shutdown.clone();
+    let admission = Admission { permits: Arc::clone(&permits), idle, cfg, handler, shutdown };
+    let end = async move {
+        let _ = stop.wait_for(|stop| *stop).await;
+        sleep(STOP_GRACE).await;
+    };
+    tokio::pin!(end);
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = shutdown.wait_for(|stop| *stop) => break,
+            () = &mut end => break,
         };
-        let stream = match accepted {
-            Ok((stream, _)) => stream,
+        match accepted {
+            Ok((stream, _)) => admission.admit(stream),
             Err(err) => {
                 warn!("accepting a caller failed: {err}");
-                tokio::time::sleep(Duration::from_millis(50)).await;
-                continue;
+                sleep(ACCEPT_PAUSE).await;
             }
-        };
-        let permit = Arc::clone(&permits).try_acquire_owned();
-        let replaces = permit.is_err() && idle.close_longest() == Closing::Started;
-        if permit.is_err() && !replaces {
+        }
+    }
+    if let Err(err) = accept_rest(listener, &admission) {
+        warn!("accepting the last callers failed: {err}");
+    }
+    let all = u32::try_from(max_connections).unwrap_or(u32::MAX);
+    let _ = permits.acquire_many(all).await;
+}
+
+/// Takes the connections that the kernel has accepted already, and closes the listener. Those left
+/// in its queue would be reset.
+fn accept_rest(listener: TcpListener, admission: &Admission) -> std::io::Result<()> {
+    // The listener of the runtime reports only connections that the runtime has been told of.
+    let listener = listener.into_std()?;
+    let mut rest = Vec::new();
+    while let Ok((stream, _)) = listener.accept() {
+        rest.push(stream);
+    }
+    drop(listener);
+    for stream in rest {
+        stream.set_nonblocking(true)?;
+        admission.admit(TcpStream::from_std(stream)?);
+    }
+    Ok(())
+}
+
+/// What a new connection needs.
+#[derive(Clone)]
+struct Admission {
+    permits: Arc<Semaphore>,
+    idle: Arc<IdleConnections>,
+    cfg: CallerConfig,
+    handler: Arc<dyn CallerHandler>,
+    shutdown: Shutdown,
+}
+
+impl Admission {
+    /// Serves a new connection, in the place of an idle one if there is no other.
+    fn admit(&self, stream: TcpStream) {
+        if let Ok(permit) = Arc::clone(&self.permits).try_acquire_owned() {
+            tokio::spawn(connection(stream, self.clone(), permit));
+            return;
+        }
+        if self.idle.close_longest() != Closing::Started {
             tokio::spawn(refuse_connection(stream));
-            continue;
+            return;
         }
-        let (permits, cfg, idle) = (Arc::clone(&permits), cfg.clone(), Arc::clone(&idle));
-        let (handler, shutdown) = (Arc::clone(&handler), shutdown.clone());
+        let admission = self.clone();
         tokio::spawn(async move {
-            let permit = match permit {
-                Ok(permit) => Some(permit),
-                Err(_) => {
-                    let released = timeout(REPLACE_TIMEOUT, permits.acquire_owned()).await;
-                    released.ok().and_then(Result::ok)
-                }
-            };
-            match permit {
-                Some(permit) => connection(stream, cfg, handler, shutdown, idle, permit).await,
-                None => refuse_connection(stream).await,
+            let permits = Arc::clone(&admission.permits);
+            match timeout(REPLACE_TIMEOUT, permits.acquire_owned()).await {
+                Ok(Ok(permit)) => connection(stream, admission, permit).await,
+                _ => refuse_connection(stream).await,
             }
         });
     }
-    drop(listener);
-    let all = u32::try_from(cfg.max_connections).unwrap_or(u32::MAX);
-    let _ = permits.acquire_many(all).await;
 }
 
-async fn connection(
-    stream: TcpStream,
-    cfg: CallerConfig,
-    handler: Arc<dyn CallerHandler>,
-    mut shutdown: Shutdown,
-    idle: Arc<IdleConnections>,
-    _permit: OwnedSemaphorePermit,
-) {
+async fn connection(stream: TcpStream, admission: Admission, _permit: OwnedSemaphorePermit) {
+    let Admission { idle, cfg, handler, mut shutdown, .. } = admission;
     let _ = stream.set_nodelay(true);
     let limits = cfg.body;
     let refusal = Arc::new(Refusal::default());
     let stream = CheckedStream::new(stream, cfg.max_head_bytes, Arc::clone(&refusal));
     let requests = AtomicU64::new(0);
+    let stopping = shutdown.clone();
     let connection_use = ConnectionUse::new(idle);
     let close = connection_use.close();
     let service = service_fn(move |req| {
         let request_use = Box::new(connection_use.begin_request());
         let handler = Arc::clone(&handler);
         let refused = refusal.of(requests.fetch_add(1, Ordering::Relaxed) + 1);
+        let stopping = stopping.clone();
         async move {
-            let answer = answer(req, refused, limits, &*handler).await;
+            let mut answer = answer(req, refused, limits, &*handler).await;
+            if *stopping.borrow() {
+                set_close(&mut answer);
+            }
             Ok::<_, Infallible>(answer.map(|body| body.hold(request_use)))
         }
     });
@@ -162,14 +207,15 @@
         .max_headers(MAX_HEADERS)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(conn);
-    let stopping = tokio::select! {
+    let grace = tokio::select! {
         _ = conn.as_mut() => return,
-        stopping = shutdown.wait_for(|stop| *stop) => stopping.is_ok(),
-        () = close.notified() => true,
+        _ = shutdown.wait_for(|stop| *stop) => STOP_GRACE,
+        () = close.notified() => Duration::ZERO,
     };
-    if stopping {
-        conn.as_mut().graceful_shutdown();
+    if timeout(grace, conn.as_mut()).await.is_ok() {
+        return;
     }
+    conn.as_mut().graceful_shutdown();
     let _ = conn.await;
 }
 
@@ -188,8 +234,7 @@
             handler.refused(&id, code);
             let mut answer = error_answer(code, &id);
             // The body was not read, so the connection can't carry another request.
-            let close = header::HeaderValue::from_static("close");
-            answer.headers_mut().insert(header::CONNECTION, close);
+            set_close(&mut answer);
             answer
         }
     };
@@ -199,6 +244,12 @@
     answer
 }
 
+/// Tells the caller that its connection ends with this answer.
+fn set_close(answer: &mut Response<Payload>) {
+    let close = header::HeaderValue::from_static("close");
+    answer.headers_mut().insert(header::CONNECTION, close);
+}
+
 fn receive(
     id: &RequestId,
     head: hyper::http::request::Parts,
--- a/crates/operator/tests/commands.rs
+++ b/crates/operator/tests/commands.rs
@@ -551,12 +551,18 @@
     let key = ObjectKey::new(Kind::Node, "shop-1");
     let id = fresh_write_id();
     store(&platform).write(&key, Precondition::Absent, Some(&record), &id).unwrap();
-    check(ran(Some(&platform), &[], "fleet forget shop-1"), expect![[r#"
+    check(
+        ran(Some(&platform), &[], "fleet forget shop-1"),
+        expect![[r#"
         node/shop-1 accepted at revision 2
         exit 0
-    "#]]);
-    check(ran(Some(&platform), &[], "fleet forget shop-1"), expect![[r#"
+    "#]],
+    );
+    check(
+        ran(Some(&platform), &[], "fleet forget shop-1"),
+        expect![[r#"
         error: 3002 The object does not exist. (node/shop-1)
         exit 2
-    "#]]);
+    "#]],
+    );
 }
