--- a/xtask/src/slopes/config.rs
+++ b/xtask/src/slopes/config.rs
@@ -276,7 +276,7 @@
     StoredObject {
         key: ObjectKey::new(object.kind(), name),
         revision: Revision(number as u64 + 1),
-        write_id: format!("{number:032x}").parse().expect("digits are valid in an id"),
+        write_id: format!("w-{number:032x}").parse().expect("digits are valid in an id"),
         object: Some(object),
     }
 }
@@ -285,7 +285,7 @@
     format!("/region-{}/shop-{}/orders-{number}", number % 3, number % 1000)
 }
 
-fn route(number: usize) -> StoredObject {
+pub(super) fn route(number: usize) -> StoredObject {
     let route = Route {
         prefix: prefix(number).into(),
         service: format!("service-{}", number % SERVICES).parse().expect("valid in an id"),
@@ -303,7 +303,7 @@
     format!("account-{number}")
 }
 
-fn account(number: usize) -> StoredObject {
+pub(super) fn account(number: usize) -> StoredObject {
     let account = Account { rate: Rate::per_second(50), burst: Burst(100) };
     stored(number, &account_name(number), Object::Account(account))
 }
@@ -312,7 +312,7 @@
     format!("{:016x}", (number as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15))
 }
 
-fn key(number: usize) -> StoredObject {
+pub(super) fn key(number: usize) -> StoredObject {
     let digest = KeyDigest::try_from(format!("{number:064x}")).expect("64 digits are a digest");
     let account = account_name(number).parse().expect("valid in an id");
     stored(number, &key_id(number), Object::Key(Key { account, digest }))
@@ -322,7 +322,7 @@
     Ok(format!("node-{number}").parse()?)
 }
 
-fn node_record(number: usize) -> StoredObject {
+pub(super) fn node_record(number: usize) -> StoredObject {
     let address = |port: u16| ([10, 0, (number / 256) as u8, (number % 256) as u8], port).into();
     let record = NodeRecord {
         domain: format!("domain-{}", number % 11).parse().expect("valid in an id"),
@@ -333,7 +333,15 @@
     stored(number, &format!("node-{number}"), Object::Node(record))
 }
 
-fn endpoint(number: usize, services: usize) -> Endpoint {
+pub(super) fn partition_record(number: usize) -> StoredObject {
+    let owner = format!("node-{number}").parse().expect("valid in an id");
+    let incarnation = Incarnation(0x1234_5678_9abc_def0);
+    let record = PartitionRecord { owner, incarnation, epoch: Epoch(3) };
+    let id = PartitionId(number as u16).to_string();
+    stored(number, &id, Object::Partition(record))
+}
+
+pub(super) fn endpoint(number: usize, services: usize) -> Endpoint {
     Endpoint {
         name: format!("endpoint-{number}").parse().expect("valid in an id"),
         service: format!("service-{}", number % services).parse().expect("valid in an id"),
--- a/xtask/src/slopes/mod.rs
+++ b/xtask/src/slopes/mod.rs
@@ -4,6 +4,7 @@
 mod health;
 mod limits;
 mod routing;
+mod wire;
 
 use eyre::Result;
 
@@ -12,5 +13,6 @@
     config::run()?;
     limits::run()?;
     routing::run()?;
-    health::run()
+    health::run()?;
+    wire::run()
 }
