Measure token requests of an entry and scans for the routes of a service

The memory of owner and entry was shown as zero, because the limiter ran after the replicas and used the memory that they had freed. It now runs on a thread with allocation arenas of its own.

--- a/xtask/src/slopes/config.rs
+++ b/xtask/src/slopes/config.rs
@@ -39,6 +39,7 @@
     // Kept until the end, since freed memory would be used again and spoil the next figure.
     let built = memory()?;
     route_lookups()?;
+    route_scans()?;
     key_lookups()?;
     changes()?;
     pongs()?;
@@ -98,6 +99,23 @@
     Ok(())
 }
 
+/// The routes of one service, as the health code looks for them.
+fn route_scans() -> Result<()> {
+    for size in [100, 10_000, ROUTES] {
+        let replica = replica(size, route)?;
+        let service = "service-17".parse()?;
+        let rounds = (2_000_000 / size).min(2_000);
+        let start = Instant::now();
+        for _ in 0..rounds {
+            let found = replica.routes().filter(|route| route.policy().service == service);
+            black_box(found.count());
+        }
+        let nanos = start.elapsed().as_nanos() as f64 / rounds as f64;
+        print("scan for the routes of a service", size, nanos, "ns");
+    }
+    Ok(())
+}
+
 fn key_lookups() -> Result<()> {
     for size in [100, 10_000, ACCOUNTS] {
         let replica = replica(size, key)?;
--- a/xtask/src/slopes/limits.rs
+++ b/xtask/src/slopes/limits.rs
@@ -6,6 +6,7 @@
 use eyre::{Result, eyre};
 use limits::{Allowances, Arrival, Decision, Owner, PARTITIONS, TokenRequest, shares};
 use model::{Account, AccountName, Burst, Epoch, Incarnation, PartitionId, Rate, Time, Tokens};
+use routing::{RandomSource, SplitMix64};
 
 /// Numbers of accounts with state in memory, the largest first.
 const SIZES: [usize; 3] = [330_000, 10_000, 1_000];
@@ -34,6 +35,11 @@
             shown(entry_bytes),
         );
     }
+    println!("requests of one entry in a second: for tokens, and with reports only");
+    for (accounts, rate) in [(8, 10.0), (122, 6.4), (330, 2.36), (7_780, 0.1)] {
+        let (wanting, reporting) = traffic(accounts, rate)?;
+        println!("{accounts:>9} accounts at {rate:>5.2} calls/s: {wanting:>8.1} {reporting:>8.1}");
+    }
     Ok(())
 }
 
@@ -84,7 +90,10 @@
         req.sequence += 1;
         black_box(owner.request(now, Time::NEVER, &account, req));
     }
-    Ok((started.elapsed(), bytes))
+    let elapsed = started.elapsed();
+    // Freed memory would be used again and spoil the figures that follow.
+    std::mem::forget(owner);
+    Ok((elapsed, bytes))
 }
 
 /// Calls that each take a token, or ask for one and get it.
@@ -119,9 +128,54 @@
             }
         }
     }
+    std::mem::forget(allowances);
     Ok((spent, bytes))
 }
 
+/// Requests for tokens that one entry sends in a second, with calls of `accounts` accounts at
+/// `calls_per_second` each, at random times.
+fn traffic(accounts: usize, calls_per_second: f64) -> Result<(f64, f64)> {
+    const SECONDS: u64 = 20;
+    const STEP: Duration = Duration::from_millis(1);
+    let account = account();
+    let names = names(accounts)?;
+    let mut owner = Owner::new();
+    for partition in 0..PARTITIONS {
+        owner.gain(Time::ZERO, PartitionId(partition), Epoch(1))?;
+    }
+    let mut allowances = Allowances::new(Incarnation(1));
+    let mut random = SplitMix64::new(7);
+    let (mut wanting, mut reporting) = (0_u64, 0_u64);
+    let start = Time::from_micros(10_000_000);
+    let mut now = start;
+    while now.since(start) < Duration::from_secs(SECONDS) {
+        now = now + STEP;
+        let mut asks = allowances.tick(now);
+        for name in &names {
+            let chance = calls_per_second * STEP.as_secs_f64();
+            if (random.next_u64() as f64 / u64::MAX as f64) < chance {
+                let wait_until = now + Duration::from_millis(200);
+                match allowances.take(now, name, &account, wait_until, Arrival::New) {
+                    Decision::Taken { asks: more, .. } | Decision::Ask { asks: more, .. } => {
+                        asks.extend(more);
+                    }
+                    Decision::Wait { .. } | Decision::Refused { .. } => {}
+                }
+            }
+        }
+        while let Some(req) = asks.pop() {
+            match req.wanted.0 {
+                0 => reporting += 1,
+                _ => wanting += 1,
+            }
+            if let Some(answer) = owner.request(now, Time::NEVER, &account, &req) {
+                asks.extend(allowances.answered(now, &answer).asks);
+            }
+        }
+    }
+    Ok((wanting as f64 / SECONDS as f64, reporting as f64 / SECONDS as f64))
+}
+
 /// Resident memory of this process, with pages of 4 KB.
 fn resident_bytes() -> Result<usize> {
     let statm = std::fs::read_to_string("/proc/self/statm")?;
--- a/xtask/src/slopes/mod.rs
+++ b/xtask/src/slopes/mod.rs
@@ -6,12 +6,16 @@
 mod routing;
 mod wire;
 
-use eyre::Result;
+use std::thread;
+
+use eyre::{Result, eyre};
 
 /// Runs every slope and prints its table.
 pub fn run() -> Result<()> {
     config::run()?;
-    limits::run()?;
+    // The allocator gives a new thread memory of its own. Memory that the replicas have freed would
+    // be used again and hide what owner and entry take.
+    thread::spawn(limits::run).join().map_err(|_| eyre!("the slopes of the limiter failed"))??;
     routing::run()?;
     health::run()?;
     wire::run()
