--- a/xtask/src/slopes/mod.rs
+++ b/xtask/src/slopes/mod.rs
@@ -13,10 +13,14 @@
 /// Runs every slope and prints its table.
 pub fn run() -> Result<()> {
     config::run()?;
-    // The allocator gives a new thread memory of its own. Memory that the replicas have freed would
-    // be used again and hide what owner and entry take.
-    thread::spawn(limits::run).join().map_err(|_| eyre!("the slopes of the limiter failed"))??;
-    routing::run()?;
+    run_apart(limits::run)?;
+    run_apart(routing::run)?;
     health::run()?;
     wire::run()
 }
+
+/// Runs slopes on a thread of their own, to which the allocator gives memory of its own. Memory that
+/// earlier slopes have freed would be used again and hide what is measured.
+fn run_apart(slopes: fn() -> Result<()>) -> Result<()> {
+    thread::spawn(slopes).join().map_err(|_| eyre!("a slope has panicked"))?
+}
