Measure latency, calls per core and memory of a small fleet

cargo xtask load starts two nodes and compares calls through them with the same calls straight to the upstream stand-in. The fleet of the demo moves to xtask/src/fleet.rs. The stand-in no longer sleeps for calls of 0 ms, which the timer rounds up to 1 ms.

--- a/crates/standins/src/upstream.rs
+++ b/crates/standins/src/upstream.rs
@@ -204,7 +204,10 @@
     let target = req.uri().to_string();
     let number = record(&target, req.headers(), state);
     let Ok(body) = req.into_body().collect().await else { return Err(Dropped) };
-    sleep(Duration::from_millis(behaviour.service_ms)).await;
+    // The timers of the runtime have a resolution of 1 ms, so a sleep of 0 ms would take up to that.
+    if behaviour.service_ms > 0 {
+        sleep(Duration::from_millis(behaviour.service_ms)).await;
+    }
     if behaviour.drop_answers {
         return Err(Dropped);
     }
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,6 +1,8 @@
 //! Developer commands: tests, demo, load and measurements.
 
 mod demo;
+mod fleet;
+mod load;
 mod measure;
 mod slopes;
 mod test;
@@ -12,6 +14,7 @@
 #[derive(Debug, Clone)]
 enum Command {
     Demo,
+    Load(load::Options),
     Test,
     Measure,
     Slopes,
@@ -20,6 +23,7 @@
 fn main() -> Result<()> {
     match command().run() {
         Command::Demo => demo::run(),
+        Command::Load(options) => load::run(&options),
         Command::Test => test::run(),
         Command::Measure => measure::run(),
         Command::Slopes => slopes::run(),
@@ -31,6 +35,9 @@
         .to_options()
         .command("demo")
         .help("Start a small fleet, send requests through it and say what happened");
+    let load = load::options().map(Command::Load).to_options().command("load").help(
+        "Measure latency, calls per core and memory of a small fleet under an open-loop load",
+    );
     let test = pure(Command::Test).to_options().command("test").help("Run every test");
     let measure = pure(Command::Measure)
         .to_options()
@@ -40,7 +47,7 @@
         .to_options()
         .command("slopes")
         .help("Measure memory, bytes and processor time per object and per decision");
-    construct!([demo, test, measure, slopes])
+    construct!([demo, load, test, measure, slopes])
         .to_options()
         .descr("Developer commands of zinniacross")
 }
