--- a/xtask/src/load.rs
+++ b/xtask/src/load.rs
@@ -6,7 +6,11 @@
 
 mod client;
 
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::process::Command;
+use std::sync::mpsc::{self, RecvTimeoutError};
+use std::thread::JoinHandle;
 use std::time::Duration;
 
 use bpaf::{Parser, construct, long};
@@ -32,6 +36,9 @@
 /// Clock ticks in a second, in which `/proc` counts processor time on every Linux platform.
 const TICKS_PER_SECOND: f64 = 100.0;
 
+/// Time in which all further endpoints are announced.
+const ANNOUNCED_WITHIN: Duration = Duration::from_secs(3);
+
 /// Nodes of the fleet.
 const NODES: usize = 2;
 
@@ -44,6 +51,7 @@
     capacity_seconds: u64,
     connections: usize,
     slots: u32,
+    endpoints: usize,
     log: String,
 }
 
@@ -75,12 +83,26 @@
         .guard(|count| (1..=1000).contains(count), "1 to 1000 connections")
         .fallback(32);
     let slots = long("slots").help("Slots of each upstream").argument::<u32>("N").fallback(256);
+    let endpoints = long("endpoints")
+        .help("Endpoints of each service; all but one are further names of the same upstream")
+        .argument::<usize>("N")
+        .guard(|count| (1..=1000).contains(count), "1 to 1000 endpoints")
+        .fallback(1);
     let log = long("log")
         .help("Log level of the nodes: warn or info")
         .argument::<String>("LEVEL")
         .guard(|level| ["warn", "info"].contains(&level.as_str()), "warn or info")
         .fallback("warn".to_owned());
-    construct!(Options { rate, seconds, rounds, capacity_seconds, connections, slots, log })
+    construct!(Options {
+        rate,
+        seconds,
+        rounds,
+        capacity_seconds,
+        connections,
+        slots,
+        endpoints,
+        log
+    })
 }
 
 /// Runs the measurement. An unoptimized client would use more processor time than the nodes, so
@@ -99,6 +121,7 @@
     let slots = options.slots.to_string();
     let direct = fleet.start_upstream("near-1", 0, &["--service", "near", "--slots", &slots])?;
     fleet.start_upstream("far-1", 1, &["--service", "far", "--slots", &slots])?;
+    let _announcer = Announcer::start(fleet.nodes[0].announce, direct, options);
     create_route(&fleet, "near")?;
     create_route(&fleet, "far")?;
     // The burst is split over shares, and an entry asks for half a second of its demand; this is
@@ -114,6 +137,9 @@
     });
     ensure!(usable, "the routes did not become usable");
 
+    if options.endpoints > 1 {
+        std::thread::sleep(ANNOUNCED_WITHIN);
+    }
     let paths = Paths {
         direct: Target { addr: direct, path: "/near", key: None },
         near: Target { addr: entry, path: "/near", key: Some(key.clone()) },
@@ -129,6 +155,49 @@
     Ok(())
 }
 
+/// Announces further endpoints of the service "near" at the address of its upstream.
+struct Announcer {
+    stop: mpsc::Sender<()>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Announcer {
+    fn start(node: SocketAddr, upstream: SocketAddr, options: &Options) -> Announcer {
+        let (stop, stopped) = mpsc::channel();
+        let (count, slots) = (options.endpoints, options.slots);
+        let thread = std::thread::spawn(move || {
+            let agent = ureq::Agent::new_with_defaults();
+            let url = format!("http://{node}/v1/announce");
+            // Announcements are due each second.
+            while stopped.recv_timeout(Duration::from_secs(1)) == Err(RecvTimeoutError::Timeout) {
+                for index in 2..=count {
+                    let endpoint = serde_json::json!({
+                        "name": format!("near-{index}"),
+                        "service": "near",
+                        "labels": {},
+                        "addr": upstream,
+                        "slots": slots,
+                        "state": "ready",
+                        "load": 0,
+                    });
+                    // An announcement that fails is repeated with the next one.
+                    let _ = agent.post(&url).send_json(&endpoint);
+                }
+            }
+        });
+        Announcer { stop, thread: Some(thread) }
+    }
+}
+
+impl Drop for Announcer {
+    fn drop(&mut self) {
+        let _ = self.stop.send(());
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
 fn create_route(fleet: &Fleet, name: &str) -> Result<()> {
     let prefix = format!("/{name}");
     let mut args = vec!["route", "create", name, "--prefix", &prefix, "--service", name];
@@ -206,7 +275,7 @@
     latency: Histogram<u64>,
     round_p99: Vec<u64>,
     answered: u64,
-    failed: u64,
+    failed: BTreeMap<u16, u64>,
     took: Duration,
     /// Processor seconds of the nodes, the entry first.
     cpu: [f64; NODES],
@@ -218,7 +287,7 @@
             latency: Histogram::new(3)?,
             round_p99: Vec::new(),
             answered: 0,
-            failed: 0,
+            failed: BTreeMap::new(),
             took: Duration::ZERO,
             cpu: [0.0; NODES],
         })
@@ -231,7 +300,9 @@
         self.round_p99.push(latency.value_at_quantile(0.99));
         self.latency.add(latency)?;
         self.answered += answered;
-        self.failed += failed;
+        for (status, count) in failed {
+            *self.failed.entry(status).or_default() += count;
+        }
         self.took += took;
         for (index, total) in self.cpu.iter_mut().enumerate() {
             *total += after[index] - before[index];
@@ -288,7 +359,7 @@
             ));
         }
         out.push_str(
-            "\n| phase | calls/s | answered | failed | calls per core of the entry | calls per \
+            "\n| phase | calls/s | answered | failed, by status | calls per core of the entry | calls per \
              core of both nodes | 99 of 100 in each round, µs |\n|---|---|---|---|---|---|---|\n",
         );
         for (name, phase) in [
@@ -304,7 +375,7 @@
                 _ => (format!("{:.0}", phase.per_entry_core()), format!("{:.0}", phase.per_core())),
             };
             out.push_str(&format!(
-                "| {name} | {:.0} | {answered} | {failed} | {entry} | {both} | {round_p99:?} |\n",
+                "| {name} | {:.0} | {answered} | {failed:?} | {entry} | {both} | {round_p99:?} |\n",
                 phase.rate(),
             ));
         }
@@ -317,10 +388,10 @@
         let cores = std::thread::available_parallelism().map_or(0, usize::from);
         let load = std::fs::read_to_string("/proc/loadavg").unwrap_or_default();
         let load: Vec<&str> = load.split(' ').take(2).collect();
-        let Options { connections, slots, .. } = options;
+        let Options { connections, slots, endpoints, .. } = options;
         format!(
             "\n`cargo xtask {}`: {cores} cores, load average {} over 1 and 5 minutes; {:.0} \
-             calls/s on {connections} connections, {slots} slots, log level {}.\n",
+             calls/s on {connections} connections, {endpoints} endpoints near, {slots} slots each, log level {}.\n",
             args.join(" "),
             load.join(" and "),
             self.rate,
--- a/xtask/src/load/client.rs
+++ b/xtask/src/load/client.rs
@@ -1,5 +1,6 @@
 //! A light HTTP client with a fixed set of keep-alive connections.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -57,8 +58,8 @@
     pub latency: Histogram<u64>,
     /// Calls with status 200.
     pub answered: u64,
-    /// All other calls.
-    pub failed: u64,
+    /// All other calls by status; 0 stands for no answer.
+    pub failed: BTreeMap<u16, u64>,
     /// Time until the last answer.
     pub took: Duration,
 }
@@ -86,7 +87,8 @@
     pub async fn call_once_each(&self) -> Result<usize> {
         let mut served = 0;
         for connection in &self.connections {
-            served += usize::from(call(&mut *connection.lock().await, &self.target).await);
+            let status = call(&mut *connection.lock().await, &self.target).await;
+            served += usize::from(status == 200);
         }
         Ok(served)
     }
@@ -101,13 +103,19 @@
             let connection = Arc::clone(connection);
             tasks.spawn(async move { serve(&calls, &mut *connection.lock().await, &target).await });
         }
-        let mut outcome =
-            Outcome { latency: Histogram::new(3)?, answered: 0, failed: 0, took: Duration::ZERO };
+        let mut outcome = Outcome {
+            latency: Histogram::new(3)?,
+            answered: 0,
+            failed: BTreeMap::new(),
+            took: Duration::ZERO,
+        };
         while let Some(part) = tasks.join_next().await {
             let part = part??;
             outcome.latency.add(part.latency)?;
             outcome.answered += part.answered;
-            outcome.failed += part.failed;
+            for (status, count) in part.failed {
+                *outcome.failed.entry(status).or_default() += count;
+            }
         }
         outcome.took = started.elapsed();
         ensure!(outcome.answered > 0, "no call was answered with status 200");
@@ -158,37 +166,40 @@
 }
 
 async fn serve(calls: &Calls, connection: &mut Connection, target: &Target) -> Result<Outcome> {
-    let mut outcome =
-        Outcome { latency: Histogram::new(3)?, answered: 0, failed: 0, took: Duration::ZERO };
+    let mut outcome = Outcome {
+        latency: Histogram::new(3)?,
+        answered: 0,
+        failed: BTreeMap::new(),
+        took: Duration::ZERO,
+    };
     while let Some(due) = calls.next().await {
-        if call(connection, target).await {
-            outcome.answered += 1;
-        } else {
-            outcome.failed += 1;
-            if connection.is_closed() {
-                *connection = open(target.addr).await?;
-            }
+        match call(connection, target).await {
+            200 => outcome.answered += 1,
+            status => *outcome.failed.entry(status).or_default() += 1,
+        }
+        if connection.is_closed() {
+            *connection = open(target.addr).await?;
         }
         outcome.latency.record(due.elapsed().as_micros() as u64)?;
     }
     Ok(outcome)
 }
 
-/// Sends one call and tells whether the whole answer came with status 200.
-async fn call(connection: &mut Connection, target: &Target) -> bool {
+/// Sends one call and returns the status of its answer, or 0 if no whole answer came.
+async fn call(connection: &mut Connection, target: &Target) -> u16 {
     let mut req = Request::get(target.path).header("host", "load");
     if let Some(key) = &target.key {
         req = req.header("x-api-key", key);
     }
-    let Ok(req) = req.body(Empty::new()) else { return false };
+    let Ok(req) = req.body(Empty::new()) else { return 0 };
     let answered = async {
         connection.ready().await?;
         let answer = connection.send_request(req).await?;
-        let is_ok = answer.status() == 200;
+        let status = answer.status().as_u16();
         answer.into_body().collect().await?;
-        Ok::<_, hyper::Error>(is_ok)
+        Ok::<_, hyper::Error>(status)
     };
-    timeout(CALL_TIMEOUT, answered).await.is_ok_and(|answered| answered.unwrap_or(false))
+    timeout(CALL_TIMEOUT, answered).await.map_or(0, |answered| answered.unwrap_or(0))
 }
 
 async fn open(addr: SocketAddr) -> Result<Connection> {
