--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -5,7 +5,7 @@
 mod slopes;
 mod test;
 
-use bpaf::{Parser, construct, pure};
+use bpaf::{Parser, construct, positional, pure};
 use eyre::Result;
 
 /// What the developer asked for.
@@ -13,7 +13,7 @@
 enum Command {
     Demo,
     Test,
-    Measure,
+    Measure(measure::Part),
     Slopes,
 }
 
@@ -21,7 +21,7 @@
     match command().run() {
         Command::Demo => demo::run(),
         Command::Test => test::run(),
-        Command::Measure => measure::run(),
+        Command::Measure(part) => measure::run(part),
         Command::Slopes => slopes::run(),
     }
 }
@@ -32,7 +32,11 @@
         .command("demo")
         .help("Start a small fleet, send requests through it and say what happened");
     let test = pure(Command::Test).to_options().command("test").help("Run every test");
-    let measure = pure(Command::Measure)
+    let part = positional::<measure::Part>("PART")
+        .help("all, limits, health or calls; all by default")
+        .fallback(measure::Part::All);
+    let measure = part
+        .map(Command::Measure)
         .to_options()
         .command("measure")
         .help("Measure the decision cores in virtual time, with their baselines");
--- a/xtask/src/measure/mod.rs
+++ b/xtask/src/measure/mod.rs
@@ -4,11 +4,43 @@
 mod health;
 mod limits;
 
-use eyre::Result;
+use std::str::FromStr;
 
-/// Runs every measurement and prints its table.
-pub fn run() -> Result<()> {
-    limits::run()?;
-    health::run()?;
-    calls::run()
+use eyre::{Report, Result, bail};
+
+/// Which measurements to run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Part {
+    All,
+    Limits,
+    Health,
+    Calls,
+}
+
+impl FromStr for Part {
+    type Err = Report;
+
+    fn from_str(part: &str) -> Result<Part> {
+        match part {
+            "all" => Ok(Part::All),
+            "limits" => Ok(Part::Limits),
+            "health" => Ok(Part::Health),
+            "calls" => Ok(Part::Calls),
+            _ => bail!("unknown part {part:?}; known are all, limits, health and calls"),
+        }
+    }
+}
+
+/// Runs the measurements of a part and prints their tables.
+pub fn run(part: Part) -> Result<()> {
+    if matches!(part, Part::All | Part::Limits) {
+        limits::run()?;
+    }
+    if matches!(part, Part::All | Part::Health) {
+        health::run()?;
+    }
+    if matches!(part, Part::All | Part::Calls) {
+        calls::run()?;
+    }
+    Ok(())
 }
