Give each share of a small burst at least two tokens

Cause: an account with rate 2/s and burst 5 had five shares of burst 1, each of which stops refilling while its token is held or unreported.

--- a/crates/limits/src/entry.rs
+++ b/crates/limits/src/entry.rs
@@ -9,7 +9,7 @@
 use crate::message::{
     ALLOWANCE_LIFETIME, SpentReport, TokenAnswer, TokenRequest, TokenResult, TokensLeft,
 };
-use crate::share::{SHARES, ShareIndex, base_partition, share_at};
+use crate::share::{SHARES, ShareIndex, base_partition, share_at, share_count};
 
 /// Largest number of accounts that an entry keeps state of. Calls of further accounts are refused
 /// until an idle account is dropped.
@@ -467,7 +467,7 @@
     }
 
     fn shares(&self) -> impl Iterator<Item = ShareIndex> + use<> {
-        let count = self.account.burst.0.min(u32::from(SHARES)) as u8;
+        let count = share_count(&self.account) as u8;
         (0..count).filter_map(ShareIndex::new)
     }
 
--- a/crates/limits/src/share.rs
+++ b/crates/limits/src/share.rs
@@ -13,6 +13,11 @@
 /// Largest number of shares of an account.
 pub const SHARES: u8 = 6;
 
+/// Least burst of a share, but for an account with a burst of 1. A share with a burst of 1 loses
+/// the refill from the time it is full until its token is spent and reported, which refuses one
+/// call in six of an account at 80% of a rate of 2 per second.
+const MIN_SHARE_BURST: u32 = 2;
+
 /// Distance between the partitions of consecutive shares. It keeps the shares of an account in
 /// distinct partitions, so a partition holds at most one share of an account.
 const STRIDE: u16 = PARTITIONS / SHARES as u16;
@@ -54,8 +59,8 @@
 
 /// Splits the rate and burst of an account. The parts add up to exactly the whole.
 ///
-/// A burst below [`SHARES`] uses fewer shares, since each share needs a burst of at least one
-/// token to grant any. A burst of 0 has no shares.
+/// A burst below twice [`SHARES`] uses fewer shares, each with a burst of at least 2 tokens. A
+/// burst of 1 has one share and a burst of 0 none.
 ///
 /// ```
 /// use model::{Account, Burst, Rate};
@@ -77,9 +82,15 @@
     PartitionId((hash % u64::from(PARTITIONS)) as u16)
 }
 
+/// Number of shares of an account.
+pub(crate) fn share_count(account: &Account) -> u32 {
+    let burst = account.burst.0;
+    (burst / MIN_SHARE_BURST).max(burst.min(1)).min(u32::from(SHARES))
+}
+
 /// The share at an index, or `None` if the account has fewer shares.
 pub(crate) fn share_at(base: PartitionId, account: &Account, index: ShareIndex) -> Option<Share> {
-    let count = u32::from(SHARES).min(account.burst.0);
+    let count = share_count(account);
     let position = u32::from(index.0);
     if position >= count {
         return None;
