--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -7,7 +7,7 @@
 mod slopes;
 mod test;
 
-use bpaf::{Parser, construct, pure};
+use bpaf::{Parser, construct, positional, pure};
 use eyre::Result;
 
 /// What the developer asked for.
@@ -16,7 +16,7 @@
     Demo,
     Load(load::Options),
     Test,
-    Measure,
+    Measure(measure::Part),
     Slopes,
 }
 
@@ -25,7 +25,7 @@
         Command::Demo => demo::run(),
         Command::Load(options) => load::run(&options),
         Command::Test => test::run(),
-        Command::Measure => measure::run(),
+        Command::Measure(part) => measure::run(part),
         Command::Slopes => slopes::run(),
     }
 }
@@ -39,7 +39,11 @@
         "Measure latency, calls per core and memory of a small fleet under an open-loop load",
     );
     let test = pure(Command::Test).to_options().command("test").help("Run every test");
-    let measure = pure(Command::Measure)
+    let part = positional::<measure::Part>("PART")
+        .help("all, limits, health or calls; all by default")
+        .fallback(measure::Part::All);
+    let measure = part
+        .map(Command::Measure)
         .to_options()
         .command("measure")
         .help("Measure the decision cores in virtual time, with their baselines");
