Find keys in more carriers

Cause: the check undid percent-encoding once and removed only white space, and looked at each parameter and header by itself. The check for a key split over two parameters never applied, because the joined text still holds the '&'. The method, names of headers and the user information of a target were not searched, so a key there was passed on (method) or not compared with the others.

Ruled out: taking a key out of Base64 as a presented key; such a request is refused by its route. A key split over headers of different names is not found; nothing joins those.

Conclusion: keys are found in a text stripped to letters, digits and underscores, after decoding.

--- a/crates/caller/src/sanitize.rs
+++ b/crates/caller/src/sanitize.rs
@@ -23,6 +23,13 @@
     "x-deadline-ms",
 ];
 
+/// Length of a key, in bytes. No shorter text holds one, however it is encoded.
+const KEY_BYTES: usize = 60;
+
+/// How often percent-encoding is undone. The work stays linear in the length of a hostile text, and
+/// nothing that reads a header decodes it more often.
+const MAX_DECODINGS: usize = 4;
+
 /// The key that a request carries.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum PresentedKey {
@@ -48,7 +55,7 @@
 /// Removes the key from a head.
 ///
 /// Returns [`ResultCode::KeyConflict`] if there are two different keys,
-/// [`ResultCode::KeyMisplaced`] if the path holds one, and [`ResultCode::MalformedRequest`] if the
+/// [`ResultCode::KeyMisplaced`] if the path or the method holds one, and [`ResultCode::MalformedRequest`] if the
 /// target is not a path or its path could be read in two ways.
 ///
 /// ```
@@ -69,20 +76,28 @@
     if *method == Method::CONNECT || !uri.path().starts_with('/') {
         return Err(ResultCode::MalformedRequest);
     }
-    if !uri.path().split('/').all(is_plain_segment) {
-        return Err(ResultCode::MalformedRequest);
-    }
-    if holds_key(uri.path()) {
+    if holds_key(uri.path()) || holds_key(method.as_str()) {
         return Err(ResultCode::KeyMisplaced);
     }
+    if !is_plain_path(uri.path()) {
+        return Err(ResultCode::MalformedRequest);
+    }
     let mut found = Found::default();
+    if let Some(authority) = uri.authority() {
+        // It is not passed on, but a key in its user information must agree with the others.
+        found.search(authority.as_str());
+    }
     let target = clean_target(uri, &mut found);
     let headers = clean_headers(headers, &mut found);
     Ok(SanitizedHead { target, headers, key: found.key()? })
 }
 
-/// Tells whether a path segment means the same to everybody. An upstream that resolves `..` or an
-/// encoded slash could serve a path of a keyed route that was matched as one of an open route.
+/// Tells whether a path means the same to everybody. An upstream that resolves `..` or an encoded
+/// slash could serve a path of a keyed route that was matched as one of an open route.
+fn is_plain_path(path: &str) -> bool {
+    path.split('/').all(is_plain_segment)
+}
+
 fn is_plain_segment(segment: &str) -> bool {
     let decoded = percent_decode(segment);
     decoded != "." && decoded != ".." && !decoded.contains(['/', '\\', '\0'])
@@ -98,7 +113,7 @@
 impl Found {
     /// Takes the keys out of a value and tells whether the value must not be passed on.
     fn search(&mut self, value: &str) -> Carrier {
-        let decoded = percent_decode(value);
+        let decoded = decode_all(value);
         let keys = CallerKey::find_all(&decoded);
         if !keys.is_empty() {
             self.keys.extend(keys);
@@ -131,10 +146,19 @@
     Other,
 }
 
-/// Tells whether a text holds a key in any letter case, percent-encoded or spaced out.
+/// Tells whether a text holds a key in any letter case, percent-encoded, in Base64, or with other
+/// characters in between.
 fn holds_key(text: &str) -> bool {
-    let mut plain = percent_decode(text).to_ascii_lowercase();
-    plain.retain(|c| !c.is_whitespace());
+    if text.len() < KEY_BYTES {
+        return false;
+    }
+    let decoded = decode_all(text);
+    holds_squeezed_key(&decoded) || base64_texts(&decoded).any(|text| holds_squeezed_key(&text))
+}
+
+fn holds_squeezed_key(text: &str) -> bool {
+    let mut plain = text.to_ascii_lowercase();
+    plain.retain(|c| c.is_ascii_alphanumeric() || c == '_');
     !CallerKey::find_all(&plain).is_empty()
 }
 
@@ -143,8 +167,14 @@
     let kept: Vec<&str> =
         query.split('&').filter(|pair| found.search(pair) == Carrier::Other).collect();
     let joined = kept.join("&");
-    // A key that is split over two parameters is whole again once they are joined.
-    if joined.is_empty() || holds_key(&joined) {
+    // A key may be split over several parameters.
+    let value = |pair: &&str| pair.split_once('=').map_or(*pair, |(_, value)| value).to_owned();
+    let values: String = kept.iter().map(value).collect();
+    if holds_key(&joined.replace(['&', '='], "")) || holds_key(&values) {
+        found.malformed += 1;
+        return uri.path().into();
+    }
+    if joined.is_empty() {
         return uri.path().into();
     }
     format!("{}?{joined}", uri.path()).into()
@@ -152,6 +182,8 @@
 
 fn clean_headers(headers: HeaderMap, found: &mut Found) -> HeaderMap {
     let nominated = nominated_headers(&headers);
+    let split: Vec<&HeaderName> = headers.keys().filter(|name| is_split(&headers, name)).collect();
+    found.malformed += split.len();
     let mut kept = HeaderMap::with_capacity(headers.len());
     for (name, value) in &headers {
         let text = String::from_utf8_lossy(value.as_bytes());
@@ -162,7 +194,10 @@
             }
             continue;
         }
-        if carrier == Carrier::Key || holds_key(name.as_str()) {
+        if carrier == Carrier::Key || found.search(name.as_str()) == Carrier::Key {
+            continue;
+        }
+        if split.contains(&name) {
             continue;
         }
         if HOP_HEADERS.contains(&name.as_str()) || nominated.contains(name) {
@@ -173,6 +208,13 @@
     kept
 }
 
+/// Tells whether the values of a repeated header hold a key only together.
+fn is_split(headers: &HeaderMap, name: &HeaderName) -> bool {
+    let values: Vec<_> =
+        headers.get_all(name).iter().map(|v| String::from_utf8_lossy(v.as_bytes())).collect();
+    values.len() > 1 && !values.iter().any(|value| holds_key(value)) && holds_key(&values.concat())
+}
+
 /// Headers that the caller names in `connection` as meant for this connection only.
 fn nominated_headers(headers: &HeaderMap) -> Vec<HeaderName> {
     let values = headers.get_all(header::CONNECTION).into_iter();
@@ -180,6 +222,18 @@
     texts.flat_map(|text| text.split(',')).filter_map(|name| name.trim().parse().ok()).collect()
 }
 
+/// Undoes percent-encoding until nothing changes, for a text that was encoded more than once.
+fn decode_all(text: &str) -> String {
+    let mut decoded = percent_decode(text);
+    for _ in 1..MAX_DECODINGS {
+        if escapes(decoded.as_bytes()).next().is_none() {
+            break;
+        }
+        decoded = percent_decode(&decoded);
+    }
+    decoded
+}
+
 fn percent_decode(text: &str) -> String {
     let mut decoded = Vec::with_capacity(text.len());
     let mut bytes = text.as_bytes();
@@ -191,7 +245,44 @@
     String::from_utf8_lossy(&decoded).into_owned()
 }
 
+/// The bytes that are percent-encoded in a text.
+fn escapes(text: &[u8]) -> impl Iterator<Item = u8> {
+    text.windows(3).filter(|window| window[0] == b'%').filter_map(|window| hex_pair(&window[1..]))
+}
+
 fn hex_pair(digits: &[u8]) -> Option<u8> {
-    let text = std::str::from_utf8(digits).ok()?;
-    u8::from_str_radix(text, 16).ok()
+    let digit = |byte: u8| char::from(byte).to_digit(16);
+    let value = digit(*digits.first()?)? * 16 + digit(*digits.get(1)?)?;
+    u8::try_from(value).ok()
+}
+
+/// What the runs of Base64 in a text decode to. A run may start after characters that are not part
+/// of it, so that each of the four alignments is tried.
+fn base64_texts(text: &str) -> impl Iterator<Item = String> {
+    let runs = text.split(|c: char| !c.is_ascii() || base64_value(c as u8).is_none());
+    let long = runs.filter(|run| run.len() >= KEY_BYTES * 4 / 3);
+    long.flat_map(|run| (0..4).map(move |skipped| base64_decode(&run.as_bytes()[skipped..])))
+}
+
+fn base64_decode(run: &[u8]) -> String {
+    let mut decoded = Vec::with_capacity(run.len());
+    for group in run.chunks(4) {
+        let bits = group.iter().filter_map(|byte| base64_value(*byte));
+        let bits =
+            bits.fold(0, |bits, value| bits << 6 | u32::from(value)) << (6 * (4 - group.len()));
+        decoded.extend(&bits.to_be_bytes()[1..group.len()]);
+    }
+    String::from_utf8_lossy(&decoded).into_owned()
+}
+
+/// The value of a digit, in the standard alphabet or the one for URLs.
+fn base64_value(byte: u8) -> Option<u8> {
+    match byte {
+        b'A'..=b'Z' => Some(byte - b'A'),
+        b'a'..=b'z' => Some(byte - b'a' + 26),
+        b'0'..=b'9' => Some(byte - b'0' + 52),
+        b'+' | b'-' => Some(62),
+        b'/' | b'_' => Some(63),
+        _ => None,
+    }
 }
