Refuse more ambiguous paths

Cause: routes are matched by the path as it was sent, and only '..', encoded slashes and NUL were refused. '/%6frders', '//orders' and '/orders;x=1' do not match the route '/orders' but fall to a shorter one, which may be open to all, while upstreams that decode letters, merge slashes or cut path parameters serve '/orders' without a key.

Ruled out: rewriting the path, since the upstream would see another path than the caller sent, and there is no rule for slashes and semicolons that suits all upstreams.

Before: these paths, twice encoded ones and encoded control characters were passed on. A path with a semicolon is refused too, even where the upstream means it literally.

Conclusion: a path that passes is read in one way by upstreams of the common kinds.

--- a/crates/caller/src/sanitize.rs
+++ b/crates/caller/src/sanitize.rs
@@ -92,15 +92,27 @@
     Ok(SanitizedHead { target, headers, key: found.key()? })
 }
 
-/// Tells whether a path means the same to everybody. An upstream that resolves `..` or an encoded
-/// slash could serve a path of a keyed route that was matched as one of an open route.
+/// Tells whether a path means the same to everybody. Routes are matched by the path as it was sent;
+/// an upstream that reads it in another way could serve a path of a keyed route that was matched
+/// as one of an open route.
 fn is_plain_path(path: &str) -> bool {
-    path.split('/').all(is_plain_segment)
+    // Some upstreams merge slashes.
+    !path.contains("//") && path.split('/').all(is_plain_segment)
 }
 
+/// Upstreams differ in whether they resolve `..`, decode slashes, decode twice, and cut segments at
+/// a semicolon. No encoder needs to escape letters, digits and the other unreserved characters.
 fn is_plain_segment(segment: &str) -> bool {
     let decoded = percent_decode(segment);
-    decoded != "." && decoded != ".." && !decoded.contains(['/', '\\', '\0'])
+    let has_needless_escape = escapes(segment.as_bytes()).any(is_unreserved);
+    let is_encoded_twice = escapes(decoded.as_bytes()).next().is_some();
+    let is_dots = decoded == "." || decoded == "..";
+    let is_special = |c: char| matches!(c, '/' | '\\' | ';') || c.is_ascii_control();
+    !has_needless_escape && !is_encoded_twice && !is_dots && !decoded.contains(is_special)
+}
+
+fn is_unreserved(byte: u8) -> bool {
+    byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'.' | b'_' | b'~')
 }
 
 /// Keys found so far.
--- a/crates/caller/tests/sanitize.rs
+++ b/crates/caller/tests/sanitize.rs
@@ -246,6 +246,36 @@
     }
 }
 
+/// Guards against a path of a keyed route that is matched as one of an open route.
+#[test]
+fn ambiguous_paths_are_refused() {
+    for path in [
+        "/a/../b",
+        "/a/./b",
+        "/..",
+        "/a/%2e%2e/b",
+        "/a/.%2E/b",
+        "/a%2fb",
+        "/a%5cb",
+        "/a\\b",
+        "/a%00",
+        "/a%0d%0a",
+        "/%6frders",
+        "/order%73",
+        "/a%2Db",
+        "//orders",
+        "/a//b",
+        "/a/..;/b",
+        "/orders;x=1",
+        "/orders%3bx",
+        "/%252e%252e/b",
+        "/%256frders",
+    ] {
+        check_code(path, &[], ResultCode::MalformedRequest);
+        check_code(&format!("{path}?x=1"), &[], ResultCode::MalformedRequest);
+    }
+}
+
 #[test]
 fn plain_requests_pass_unchanged() {
     for target in
