Refuse bytes after a frame

Cause: the CBOR decoder stops at the end of the first item, and the rest of the message was ignored.

Ruled out: a second frame in the same message; no sender makes one.

Before: the frame 'Done' followed by a zero byte was taken.

Conclusion: one message is exactly one frame.

--- a/crates/wire/src/encoding.rs
+++ b/crates/wire/src/encoding.rs
@@ -70,8 +70,12 @@
         return Err(DecodeError { code: ResultCode::FrameTooLarge, reason });
     }
     // The recursion limit keeps hostile nesting from exhausting the stack.
-    let frame: WireFrame = ciborium::de::from_reader_with_recursion_limit(bytes, MAX_NESTING)
+    let mut rest = bytes;
+    let frame: WireFrame = ciborium::de::from_reader_with_recursion_limit(&mut rest, MAX_NESTING)
         .map_err(DecodeError::invalid)?;
+    if !rest.is_empty() {
+        return Err(DecodeError::invalid(format!("{} bytes after the frame", rest.len())));
+    }
     frame.try_into()
 }
 
--- a/crates/wire/tests/frames.rs
+++ b/crates/wire/tests/frames.rs
@@ -415,3 +415,11 @@
     let part = BodyPart { bytes: vec![0; MAX_CHUNK_BYTES + 1], last: true };
     check(&encode(&Frame::CallBody(part)), ResultCode::FrameTooLarge);
 }
+
+/// Guards against a frame followed by bytes that another decoder would read as a second one.
+#[test]
+fn bytes_after_a_frame_are_refused() {
+    let mut bytes = encode(&Frame::Done);
+    bytes.push(0);
+    check(&bytes, ResultCode::FrameInvalid);
+}
