Test links with wrong, hostile, silent and slow peers

Covers the handshake (secret, version, replay, reflection), garbage, reuse of a link, another incarnation, silent peers, cut bodies and back-pressure.

--- /dev/null
+++ b/crates/peer/tests/links.rs
@@ -0,0 +1,326 @@
+//! Links over loopback with peers that are wrong, hostile, silent or slow.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::{SinkExt, StreamExt};
+use model::{AttemptId, Incarnation, LoadReport, ResultCode, Revision, Slots, Time};
+use payload::{BodyCut, Payload};
+use peer::{
+    CallError, CallPool, CallReply, Clock, Identity, LinkError, PeerHandler, PeerInfo,
+    PendingReply, Secret, Target, serve,
+};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinHandle;
+use tokio::time::timeout;
+use tokio_tungstenite::tungstenite::Message;
+use tokio_tungstenite::{MaybeTlsStream, WebSocketStream, connect_async};
+use wire::{BodyPart, Call, EndpointLoad, Frame, Head, Hello, Purpose};
+
+const PATIENCE: Duration = Duration::from_secs(5);
+
+struct FixedClock;
+
+impl Clock for FixedClock {
+    fn now(&self) -> Time {
+        Time::from_micros(1)
+    }
+}
+
+fn identity(node: &str, secret: &str, incarnation: u64) -> Identity {
+    let (node, domain) = (node.parse().unwrap(), "mid-a".parse().unwrap());
+    let info = PeerInfo { node, domain, incarnation: Incarnation(incarnation) };
+    Identity { info, secret: Secret::new(secret), clock: Arc::new(FixedClock), tap: None }
+}
+
+/// Answers `/hang` never, `/cut` with a cut body, `/large` with 30 MB, and others with the target
+/// and the size of the body.
+#[derive(Default)]
+struct Handler {
+    calls: AtomicUsize,
+    chunks_made: AtomicUsize,
+}
+
+struct Shared(Arc<Handler>);
+
+impl PeerHandler for Shared {
+    fn control(&self, _peer: &PeerInfo, _frame: Frame) -> Frame {
+        Frame::Done
+    }
+
+    fn call(&self, _peer: &PeerInfo, call: Call, mut body: Payload) -> PendingReply {
+        let handler = Arc::clone(&self.0);
+        handler.calls.fetch_add(1, Ordering::SeqCst);
+        Box::pin(async move {
+            let target = &*call.head.target;
+            if target == "/hang" {
+                std::future::pending::<()>().await;
+            }
+            if target == "/large" || target == "/cut" {
+                let (tx, streamed) = Payload::channel();
+                let chunks = if target == "/cut" { 2 } else { 2000 };
+                tokio::spawn(async move {
+                    for _ in 0..chunks {
+                        if tx.send(Bytes::from(vec![0; 15_000])).await.is_err() {
+                            return;
+                        }
+                        handler.chunks_made.fetch_add(1, Ordering::SeqCst);
+                    }
+                    if chunks == 2 {
+                        return tx.cut(BodyCut::SenderLost).await;
+                    }
+                    tx.finish().await;
+                });
+                return answer(streamed);
+            }
+            let mut size = 0;
+            loop {
+                match body.next().await {
+                    None => return answer(Payload::Full(format!("{target} {size}").into())),
+                    Some(Ok(chunk)) => size += chunk.len(),
+                    Some(Err(_)) => return CallReply::Failed(ResultCode::UpstreamLost),
+                }
+            }
+        })
+    }
+}
+
+fn answer(body: Payload) -> CallReply {
+    CallReply::Answer { status: 200, headers: Vec::new(), body, load: load() }
+}
+
+fn load() -> EndpointLoad {
+    let mean_service = Duration::ZERO;
+    let report = LoadReport { slots: Slots(3), running: 0, queued: 0, mean_service };
+    EndpointLoad { endpoint: "e1".parse().unwrap(), report }
+}
+
+struct Node {
+    addr: SocketAddr,
+    handler: Arc<Handler>,
+    task: JoinHandle<()>,
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Node {
+    async fn start() -> Node {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let addr = listener.local_addr().unwrap();
+        let handler = Arc::new(Handler::default());
+        let shared = Arc::new(Shared(Arc::clone(&handler)));
+        let task = tokio::spawn(serve(listener, identity("node-1", "secret", 5), shared));
+        Node { addr, handler, task }
+    }
+
+    fn target(&self) -> Target {
+        Target { addr: self.addr, incarnation: Incarnation(5) }
+    }
+
+    fn calls(&self) -> usize {
+        self.handler.calls.load(Ordering::SeqCst)
+    }
+}
+
+fn pool(secret: &str) -> CallPool {
+    CallPool::new(identity("node-2", secret, 6))
+}
+
+fn call(sequence: u64, target: &str, last: bool) -> Call {
+    Call {
+        attempt: AttemptId { entry: Incarnation(6), sequence },
+        request: "r1".parse().unwrap(),
+        endpoint: "e1".parse().unwrap(),
+        route: "a".parse().unwrap(),
+        account: None,
+        start_by: Time::from_micros(2),
+        patience: None,
+        over_rate: false,
+        revision: Revision(1),
+        head: Head { method: "POST".into(), target: target.into(), headers: Vec::new() },
+        body: BodyPart { bytes: Vec::new(), last },
+    }
+}
+
+/// Runs a call with a whole body and returns the body of its answer.
+async fn check(pool: &CallPool, target: Target, call: Call) -> Result<Vec<u8>, String> {
+    let made = timeout(PATIENCE, pool.call(target, call, Payload::empty())).await;
+    let mut answer = made.expect("the call ends").map_err(|err| format!("{err:?}"))?;
+    let mut received = Vec::new();
+    while let Some(chunk) = answer.body.next().await {
+        received.extend_from_slice(&chunk.map_err(|cut| format!("{cut:?}"))?);
+    }
+    Ok(received)
+}
+
+type Socket = WebSocketStream<MaybeTlsStream<TcpStream>>;
+
+async fn connect(addr: SocketAddr) -> Socket {
+    connect_async(format!("ws://{addr}/peer")).await.unwrap().0
+}
+
+async fn send(socket: &mut Socket, frame: &Frame) {
+    socket.send(Message::Binary(wire::encode(frame).into())).await.unwrap();
+}
+
+/// The next frame, or none at the end of the link.
+async fn recv(socket: &mut Socket) -> Option<Frame> {
+    match timeout(PATIENCE, socket.next()).await.expect("a frame or the end of the link") {
+        Some(Ok(Message::Binary(bytes))) => Some(wire::decode(&bytes).unwrap()),
+        _ => None,
+    }
+}
+
+fn hello(version: u16, proof: [u8; 32]) -> Frame {
+    let (node, domain) = ("node-2".parse().unwrap(), "mid-a".parse().unwrap());
+    let (incarnation, purpose, nonce) = (Incarnation(6), Purpose::Call, [3; 16]);
+    Frame::Hello(Hello { version, node, domain, incarnation, purpose, nonce, proof })
+}
+
+#[tokio::test]
+async fn wrong_secret_and_version_are_refused() {
+    let node = Node::start().await;
+    let refused = pool("other").call(node.target(), call(1, "/a", true), Payload::empty()).await;
+    let rejected = LinkError::Rejected(ResultCode::PeerUnauthenticated);
+    assert_eq!(refused.err(), Some(CallError::NotSent(rejected)));
+    for (version, code) in [
+        (wire::PROTOCOL_VERSION + 1, ResultCode::VersionUnsupported),
+        (wire::PROTOCOL_VERSION, ResultCode::PeerUnauthenticated),
+    ] {
+        let mut socket = connect(node.addr).await;
+        assert!(matches!(recv(&mut socket).await, Some(Frame::Challenge(_))));
+        send(&mut socket, &hello(version, [0; 32])).await;
+        assert_eq!(recv(&mut socket).await, Some(Frame::Rejected(code)));
+        assert_eq!(recv(&mut socket).await, None);
+    }
+    assert_eq!(node.calls(), 0);
+}
+
+/// Guards against a handshake that was recorded, and one that is passed on to another node.
+#[tokio::test]
+async fn replayed_and_reflected_handshakes_are_refused() {
+    let node = Node::start().await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let nonce = [9; 16];
+    let recorder = tokio::spawn(async move {
+        let (stream, _) = listener.accept().await.unwrap();
+        let mut ws = tokio_tungstenite::accept_async(stream).await.unwrap();
+        let challenge = wire::encode(&Frame::Challenge(nonce));
+        ws.send(Message::Binary(challenge.into())).await.unwrap();
+        let Some(Ok(Message::Binary(hello))) = ws.next().await else { panic!("a frame") };
+        let Ok(Frame::Hello(recorded)) = wire::decode(&hello) else { panic!("a hello") };
+        // The proof of the dialer is sent back to it as the proof of the acceptor.
+        let welcome = Frame::Welcome(wire::Welcome {
+            node: recorded.node.clone(),
+            domain: recorded.domain.clone(),
+            incarnation: Incarnation(5),
+            clock: Time::from_micros(1),
+            proof: recorded.proof,
+        });
+        ws.send(Message::Binary(wire::encode(&welcome).into())).await.unwrap();
+        recorded
+    });
+    let target = Target { addr, incarnation: Incarnation(5) };
+    let reflected = pool("secret").call(target, call(1, "/a", true), Payload::empty()).await;
+    assert_eq!(reflected.err(), Some(CallError::NotSent(LinkError::Unauthenticated)));
+
+    let mut socket = connect(node.addr).await;
+    assert!(matches!(recv(&mut socket).await, Some(Frame::Challenge(_))));
+    send(&mut socket, &Frame::Hello(recorder.await.unwrap())).await;
+    let refused = Frame::Rejected(ResultCode::PeerUnauthenticated);
+    assert_eq!(recv(&mut socket).await, Some(refused));
+}
+
+#[tokio::test]
+async fn garbage_closes_the_link_and_harms_nobody() {
+    let node = Node::start().await;
+    for bytes in [vec![0xff; 100], vec![0; 2_000_000], wire::encode(&Frame::Done)] {
+        let mut socket = connect(node.addr).await;
+        assert!(recv(&mut socket).await.is_some());
+        let _ = socket.send(Message::Binary(bytes.into())).await;
+        let end = recv(&mut socket).await;
+        let expected = Frame::Rejected(ResultCode::FrameUnexpected);
+        assert!(end.is_none() || end == Some(expected), "{end:?}");
+    }
+    let served = check(&pool("secret"), node.target(), call(1, "/a", true)).await;
+    assert_eq!(served.unwrap(), b"/a 0");
+}
+
+/// Guards against an answer to another call on a link that is used again.
+#[tokio::test]
+async fn each_call_on_a_link_gets_its_own_answer() {
+    let node = Node::start().await;
+    let pool = pool("secret");
+    for sequence in 0..300 {
+        let path = format!("/{sequence}");
+        let answer = check(&pool, node.target(), call(sequence, &path, true)).await.unwrap();
+        assert_eq!(answer, format!("{path} 0").into_bytes());
+    }
+}
+
+/// Guards against start-by times of one process that are read by another one.
+#[tokio::test]
+async fn nothing_is_sent_to_another_incarnation() {
+    let node = Node::start().await;
+    let target = Target { incarnation: Incarnation(4), ..node.target() };
+    let refused = pool("secret").call(target, call(1, "/a", true), Payload::empty()).await;
+    assert!(matches!(refused, Err(CallError::NotSent(LinkError::Connect(_)))), "{refused:?}");
+    assert_eq!(node.calls(), 0);
+}
+
+#[tokio::test]
+async fn silent_peers_time_out_while_others_are_served() {
+    let silent = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = silent.local_addr().unwrap();
+    let node = Node::start().await;
+    let pool = pool("secret");
+    let other = pool.clone();
+    let target = Target { addr, incarnation: Incarnation(5) };
+    let stuck = tokio::spawn(async move {
+        other.call(target, call(1, "/a", true), Payload::empty()).await.err()
+    });
+    let served = timeout(Duration::from_secs(1), check(&pool, node.target(), call(2, "/b", true)));
+    assert_eq!(served.await.expect("no delay").unwrap(), b"/b 0");
+    let err = timeout(PATIENCE, stuck).await.expect("a timeout").unwrap();
+    assert_eq!(err, Some(CallError::NotSent(LinkError::TimedOut)));
+}
+
+/// Guards against a truncated body that passes for a whole one.
+#[tokio::test]
+async fn cut_bodies_are_seen_as_cut() {
+    let node = Node::start().await;
+    let pool = pool("secret");
+    let cut = check(&pool, node.target(), call(1, "/cut", true)).await;
+    assert_eq!(cut, Err("SenderLost".to_owned()));
+    let (tx, body) = Payload::channel();
+    tx.send(Bytes::from_static(b"abc")).await.unwrap();
+    tx.cut(BodyCut::SenderLost).await;
+    let unknown = pool.call(node.target(), call(2, "/a", false), body).await;
+    assert!(matches!(unknown, Err(CallError::Unknown(_))), "{unknown:?}");
+}
+
+/// Guards against a large answer that fills memory.
+#[tokio::test]
+async fn slow_receivers_slow_the_sender_down() {
+    let node = Node::start().await;
+    let pool = pool("secret");
+    let made = pool.call(node.target(), call(1, "/large", true), Payload::empty()).await;
+    let mut answer = made.unwrap();
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let sent = node.handler.chunks_made.load(Ordering::SeqCst);
+    // The kernel's socket buffers hold a few megabytes on loopback.
+    assert!(sent < 1000, "{sent} of 2000 chunks were made for a receiver that does not read");
+    let mut received = 0;
+    while let Some(chunk) = answer.body.next().await {
+        received += chunk.unwrap().len();
+    }
+    assert_eq!(received, 30_000_000);
+}
