Test frames of other attempts on call links

Late, doubled and reordered frames from an authenticated peer end the link or are dropped with it, and the next call does not see what the first one left.

--- a/crates/peer/tests/links.rs
+++ b/crates/peer/tests/links.rs
@@ -7,12 +7,14 @@
 
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
+use hmac::{Hmac, KeyInit, Mac};
 use model::{AttemptId, Incarnation, LoadReport, ResultCode, Revision, Slots, Time};
 use payload::{BodyCut, Payload};
 use peer::{
     CallError, CallPool, CallReply, Clock, Identity, LinkError, PeerHandler, PeerInfo,
     PendingReply, Secret, Target, serve,
 };
+use sha2::Sha256;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
@@ -324,3 +326,84 @@
     }
     assert_eq!(received, 30_000_000);
 }
+
+/// Accepts links, passes the handshake, and sends `replies` to the first call of each.
+async fn scripted(listener: TcpListener, replies: Vec<Frame>) {
+    loop {
+        let (stream, _) = listener.accept().await.unwrap();
+        let mut ws = tokio_tungstenite::accept_async(stream).await.unwrap();
+        let nonce = [9; 16];
+        let first = wire::encode(&Frame::Challenge(nonce));
+        ws.send(Message::Binary(first.into())).await.unwrap();
+        let Some(Ok(Message::Binary(bytes))) = ws.next().await else { continue };
+        let Ok(Frame::Hello(hello)) = wire::decode(&bytes) else { continue };
+        let (node, domain) = ("node-1".parse().unwrap(), "mid-a".parse().unwrap());
+        let (incarnation, clock) = (Incarnation(5), Time::from_micros(1));
+        let mut mac = Hmac::<Sha256>::new_from_slice(b"secret").unwrap();
+        for part in [b"acceptor".as_slice(), b"node-1", &nonce, &hello.nonce] {
+            mac.update(&(part.len() as u64).to_le_bytes());
+            mac.update(part);
+        }
+        let proof = mac.finalize().into_bytes().into();
+        let welcome = Frame::Welcome(wire::Welcome { node, domain, incarnation, clock, proof });
+        ws.send(Message::Binary(wire::encode(&welcome).into())).await.unwrap();
+        let Some(Ok(Message::Binary(_))) = ws.next().await else { continue };
+        for reply in &replies {
+            ws.send(Message::Binary(wire::encode(reply).into())).await.unwrap();
+        }
+        // The link stays open until the dialer closes it.
+        tokio::spawn(async move { while let Some(Ok(_)) = ws.next().await {} });
+    }
+}
+
+fn answer_frame(sequence: u64, text: &str, last: bool) -> Frame {
+    let attempt = AttemptId { entry: Incarnation(6), sequence };
+    let body = BodyPart { bytes: text.as_bytes().to_vec(), last };
+    let head = wire::AnswerHead { attempt, status: 200, headers: Vec::new(), body, load: load() };
+    Frame::Answer(Box::new(head))
+}
+
+fn body_frame(sequence: u64, text: &str, last: bool) -> Frame {
+    let attempt = AttemptId { entry: Incarnation(6), sequence };
+    Frame::AnswerBody { attempt, part: BodyPart { bytes: text.as_bytes().to_vec(), last } }
+}
+
+async fn check_replies(replies: Vec<Frame>, expected: Result<&str, &str>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let task = tokio::spawn(scripted(listener, replies.clone()));
+    let pool = pool("secret");
+    let target = Target { addr, incarnation: Incarnation(5) };
+    // The second call must not see what the first one left on its link.
+    for _ in 0..2 {
+        let got = check(&pool, target, call(1, "/a", true)).await;
+        let got = got.map(|bytes| String::from_utf8_lossy(&bytes).into_owned());
+        let expected = expected.map(str::to_owned).map_err(str::to_owned);
+        assert_eq!(got, expected, "{replies:?}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    task.abort();
+}
+
+/// Guards against an answer that belongs to another call, or to no call.
+#[tokio::test]
+async fn frames_of_other_attempts_end_the_link() {
+    let unknown = Err("Unknown(LinkLost)");
+    let attempt = AttemptId { entry: Incarnation(6), sequence: 2 };
+    let code = ResultCode::QueueFull;
+    check_replies(vec![answer_frame(2, "b", true)], unknown).await;
+    check_replies(vec![Frame::Refused { attempt, code, load: None }], unknown).await;
+    check_replies(vec![Frame::Failed { attempt, code: ResultCode::LinkLost }], unknown).await;
+    check_replies(vec![body_frame(1, "a", true)], unknown).await;
+    check_replies(vec![Frame::Done], unknown).await;
+    let late = vec![answer_frame(1, "a", false), body_frame(2, "b", true)];
+    check_replies(late, Err("SenderLost")).await;
+    let doubled_head = vec![answer_frame(1, "a", false), answer_frame(1, "a", true)];
+    check_replies(doubled_head, Err("SenderLost")).await;
+    let reordered = vec![body_frame(1, "b", true), answer_frame(1, "a", false)];
+    check_replies(reordered, unknown).await;
+    let doubled = vec![answer_frame(1, "a", true), answer_frame(1, "a", true)];
+    check_replies(doubled, Ok("a")).await;
+    let after_end = vec![answer_frame(1, "a", false), body_frame(1, "b", true), Frame::Done];
+    check_replies(after_end, Ok("ab")).await;
+}
