--- a/crates/caller/src/sanitize.rs
+++ b/crates/caller/src/sanitize.rs
@@ -26,6 +26,9 @@
 /// Length of a key, in bytes. No shorter text holds one, however it is encoded.
 const KEY_BYTES: usize = 60;
 
+/// Length of the secret part of a key, in bytes.
+const SECRET_BYTES: usize = 40;
+
 /// How often percent-encoding is undone. The work stays linear in the length of a hostile text, and
 /// nothing that reads a header decodes it more often.
 const MAX_DECODINGS: usize = 4;
@@ -89,7 +92,38 @@
     }
     let target = clean_target(uri, &mut found);
     let headers = clean_headers(headers, &mut found);
-    Ok(SanitizedHead { target, headers, key: found.key()? })
+    let head = SanitizedHead { target, headers, key: found.key()? };
+    match &head.key {
+        PresentedKey::One(key) => without_secret(key.clone(), head),
+        PresentedKey::Absent | PresentedKey::Malformed => Ok(head),
+    }
+}
+
+/// Removes the secret part of the key where it stands alone: the id is public, so whoever has the
+/// secret has the key.
+fn without_secret(key: CallerKey, mut head: SanitizedHead) -> Result<SanitizedHead, ResultCode> {
+    let text = key.reveal();
+    let secret = text.rsplit('_').next().unwrap_or(&text);
+    let (path, query) = head.target.split_once('?').unwrap_or((&head.target, ""));
+    if holds_text(path, secret) {
+        return Err(ResultCode::KeyMisplaced);
+    }
+    if holds_text(query, secret) {
+        head.target = path.into();
+    }
+    let carriers: Vec<HeaderName> = head
+        .headers
+        .iter()
+        .filter(|(name, value)| {
+            holds_text(name.as_str(), secret)
+                || holds_text(&String::from_utf8_lossy(value.as_bytes()), secret)
+        })
+        .map(|(name, _)| name.clone())
+        .collect();
+    for name in carriers {
+        head.headers.remove(name);
+    }
+    Ok(head)
 }
 
 /// Tells whether a path means the same to everybody. Routes are matched by the path as it was sent;
@@ -161,17 +195,24 @@
 /// Tells whether a text holds a key in any letter case, percent-encoded, in Base64, or with other
 /// characters in between.
 fn holds_key(text: &str) -> bool {
-    if text.len() < KEY_BYTES {
-        return false;
-    }
-    let decoded = decode_all(text);
-    holds_squeezed_key(&decoded) || base64_texts(&decoded).any(|text| holds_squeezed_key(&text))
+    text.len() >= KEY_BYTES
+        && plain_forms(text).any(|plain| !CallerKey::find_all(&plain).is_empty())
 }
 
-fn holds_squeezed_key(text: &str) -> bool {
-    let mut plain = text.to_ascii_lowercase();
-    plain.retain(|c| c.is_ascii_alphanumeric() || c == '_');
-    !CallerKey::find_all(&plain).is_empty()
+/// Tells whether a text holds another in one of the ways in which [`holds_key`] finds keys.
+fn holds_text(text: &str, searched: &str) -> bool {
+    text.len() >= searched.len() && plain_forms(text).any(|plain| plain.contains(searched))
+}
+
+/// What a text may mean, without the characters that can't be part of a key.
+fn plain_forms(text: &str) -> impl Iterator<Item = String> {
+    let decoded = decode_all(text);
+    let hidden: Vec<String> = base64_texts(&decoded).collect();
+    std::iter::once(decoded).chain(hidden).map(|form| {
+        let mut plain = form.to_ascii_lowercase();
+        plain.retain(|c| c.is_ascii_alphanumeric() || c == '_');
+        plain
+    })
 }
 
 fn clean_target(uri: &Uri, found: &mut Found) -> Box<str> {
@@ -272,7 +313,7 @@
 /// of it, so that each of the four alignments is tried.
 fn base64_texts(text: &str) -> impl Iterator<Item = String> {
     let runs = text.split(|c: char| !c.is_ascii() || base64_value(c as u8).is_none());
-    let long = runs.filter(|run| run.len() >= KEY_BYTES * 4 / 3);
+    let long = runs.filter(|run| run.len() >= SECRET_BYTES * 4 / 3);
     long.flat_map(|run| (0..4).map(move |skipped| base64_decode(&run.as_bytes()[skipped..])))
 }
 
