Look at few endpoints for a choice

The entry copied every usable endpoint of a service and looked up its load, weight and failure domain for each call. It now gives the balancer a view that looks up an endpoint when it is drawn, and the balancer looks up each drawn endpoint once.

--- a/crates/membership/src/directory.rs
+++ b/crates/membership/src/directory.rs
@@ -239,6 +239,11 @@
         })
     }
 
+    /// Tells whether one endpoint takes new calls now and is picked by the selector.
+    pub fn is_usable(&self, entry: &EndpointEntry, selector: &Selector, now: Time) -> bool {
+        entry.is_open() && self.is_reachable(entry, now) && selector.matches(&entry.labels)
+    }
+
     /// Every announced endpoint of a service, whatever its state.
     pub fn all(&self, service: &ServiceName) -> &[EndpointEntry] {
         self.services.get(service).map(Vec::as_slice).unwrap_or_default()
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -1,5 +1,6 @@
 //! The entry role: serves callers.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -7,22 +8,24 @@
 use caller::{CallerHandler, CallerRequest, PendingAnswer, PresentedKey, error_answer};
 use config::RouteEntry;
 use hyper::http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode, header};
-use membership::EndpointEntry;
+use membership::{Directory, EndpointEntry};
 use model::{
-    Access, Account, AccountName, AttemptId, EndpointName, Incarnation, KeyId, RequestId,
-    ResultCode, RouteName, Time,
+    Access, Account, AccountName, AttemptId, EndpointName, FailureDomain, Incarnation, KeyId,
+    NodeName, RequestId, ResultCode, RouteName, Selector, ServiceName, Time,
 };
 use payload::{BodyCut, Payload, ReadAhead};
 use peer::{CallAnswer, CallError, CallReply, Target};
 use routing::{
-    AttemptEnd, Balancer, BalancerParams, Body, CallAttempts, CallKind, Candidate, Choice,
-    Evidence, FenceResult, Idempotence, Next, PATIENCE, Stage, WhenBusy, refusal_evidence,
+    AttemptEnd, Balancer, BalancerParams, Body, CallAttempts, CallKind, Candidate, Candidates,
+    Choice, Evidence, FenceResult, Idempotence, Next, PATIENCE, Stage, WhenBusy, refusal_evidence,
 };
 use tokio::time::{timeout, timeout_at};
 use wire::{BodyPart, Call, Head, Header, MAX_CHUNK_BYTES};
 
-use crate::loads::PathEnd;
+use crate::health::Weights;
+use crate::loads::{KnownLoads, PathEnd};
 use crate::metrics::EndLabel;
+use crate::peers::Peer;
 use crate::records::{AttemptRecord, End, RequestRecord};
 use crate::shared::{Node, Phase, lock, read};
 use crate::{guard, logging};
@@ -260,6 +263,51 @@
     trace: &'a mut Trace,
 }
 
+/// The endpoints of a service. Each is looked up only when the balancer draws it, so that the cost
+/// of a choice does not grow with the number of endpoints.
+struct ServiceCandidates<'a> {
+    now: Time,
+    entries: &'a [EndpointEntry],
+    directory: &'a Directory,
+    selector: &'a Selector,
+    service: &'a ServiceName,
+    route: &'a RouteName,
+    own_domain: &'a FailureDomain,
+    members: &'a HashMap<NodeName, Arc<Peer>>,
+    weights: Weights<'a>,
+    loads: KnownLoads<'a>,
+}
+
+impl Candidates for ServiceCandidates<'_> {
+    fn count(&self) -> usize {
+        self.entries.len()
+    }
+
+    fn candidate(&self, index: usize) -> Candidate<'_> {
+        let entry = &self.entries[index];
+        let is_usable = self.directory.is_usable(entry, self.selector, self.now);
+        let weight = match is_usable {
+            true => self.weights.weight(self.service, self.route, &entry.name, self.now).value(),
+            false => 0,
+        };
+        let (load, path_penalty) = self.loads.at(&entry.name, self.now);
+        let member = self.members.get(&*entry.node);
+        Candidate {
+            endpoint: &entry.name,
+            node: &entry.node,
+            domain: member.map_or(self.own_domain, |peer| &peer.domain),
+            slots: entry.slots,
+            weight,
+            stage: match weight {
+                1..=PROBATION_WEIGHT => Stage::Probation,
+                _ => Stage::Regular,
+            },
+            path_penalty,
+            load,
+        }
+    }
+}
+
 /// One attempt that was made.
 struct Made {
     attempt: AttemptId,
@@ -271,7 +319,7 @@
 /// Where an attempt was sent.
 enum Place {
     Local,
-    Remote(Arc<crate::peers::Peer>, Incarnation),
+    Remote(Arc<Peer>, Incarnation),
 }
 
 impl Run<'_> {
@@ -360,39 +408,26 @@
     }
 
     fn choose_among(&self, avoided: &[EndpointName]) -> Option<(Choice, EndpointEntry)> {
-        let now = self.node.now();
+        let node = self.node;
         let policy = self.route.policy();
-        let entries: Vec<EndpointEntry> = {
-            let directory = read(&self.node.directory);
-            directory.usable(&policy.service, &policy.selector, now).cloned().collect()
+        // The locks are taken in the order in which the loop that follows the members takes them.
+        let members = node.peers.members();
+        let directory = read(&node.directory);
+        let candidates = ServiceCandidates {
+            now: node.now(),
+            entries: directory.all(&policy.service),
+            directory: &directory,
+            selector: &policy.selector,
+            service: &policy.service,
+            route: &self.name,
+            own_domain: &node.info().domain,
+            members: &members,
+            weights: node.health.look_up(),
+            loads: node.loads.look_up(),
         };
-        let names = || entries.iter().map(|entry| &entry.name);
-        let loads = self.node.loads.look_up(names(), now);
-        let weights = self.node.health.weights(&policy.service, &self.name, names(), now);
-        let domains: Vec<_> =
-            entries.iter().map(|entry| self.node.domain_of(&entry.node)).collect();
-        let candidates: Vec<Candidate<'_>> = entries
-            .iter()
-            .zip(loads)
-            .zip(weights)
-            .zip(&domains)
-            .map(|(((entry, (load, path_penalty)), weight), domain)| Candidate {
-                endpoint: &entry.name,
-                node: &entry.node,
-                domain,
-                slots: entry.slots,
-                weight: weight.value(),
-                stage: match weight.value() {
-                    1..=PROBATION_WEIGHT => Stage::Probation,
-                    _ => Stage::Regular,
-                },
-                path_penalty,
-                load,
-            })
-            .collect();
-        let mut random = lock(&self.node.random);
+        let mut random = lock(&node.random);
         let choice = self.balancer.choose(&candidates, avoided, self.idempotence, &mut *random)?;
-        let entry = entries[choice.index].clone();
+        let entry = candidates.entries[choice.index].clone();
         Some((choice, entry))
     }
 
--- a/crates/node/src/health.rs
+++ b/crates/node/src/health.rs
@@ -1,7 +1,7 @@
 //! Health: reports of the guard, ejections held by the entry, and the arbiter of owned services.
 
 use std::collections::HashMap;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 use health::{
@@ -51,6 +51,23 @@
     probes: HashMap<EndpointName, Vec<Probe>>,
 }
 
+/// Weights of endpoints, while they do not change.
+pub(crate) struct Weights<'a>(MutexGuard<'a, HashMap<ServiceName, Ejections>>);
+
+impl Weights<'_> {
+    /// Weight of an endpoint on a route.
+    pub(crate) fn weight(
+        &self,
+        service: &ServiceName,
+        route: &RouteName,
+        endpoint: &EndpointName,
+        now: Time,
+    ) -> Weight {
+        let held = self.0.get(service);
+        held.map_or(Weight::FULL, |held| held.weight(route, endpoint, now))
+    }
+}
+
 impl Health {
     pub(crate) fn new(incarnation: Incarnation, start: Time) -> Health {
         Health {
@@ -79,19 +96,9 @@
         recorder.record(route, endpoint, result, latency);
     }
 
-    /// Weights of several endpoints on a route, at the entry.
-    pub(crate) fn weights<'a>(
-        &self,
-        service: &ServiceName,
-        route: &RouteName,
-        endpoints: impl Iterator<Item = &'a EndpointName>,
-        now: Time,
-    ) -> Vec<Weight> {
-        let ejections = lock(&self.ejections);
-        let held = ejections.get(service);
-        endpoints
-            .map(|endpoint| held.map_or(Weight::FULL, |held| held.weight(route, endpoint, now)))
-            .collect()
+    /// Locks the ejections, to look up the weights of several endpoints at the entry.
+    pub(crate) fn look_up(&self) -> Weights<'_> {
+        Weights(lock(&self.ejections))
     }
 
     /// The own node has become the owner of a partition.
--- a/crates/node/src/loads.rs
+++ b/crates/node/src/loads.rs
@@ -1,6 +1,7 @@
 //! What an entry knows about the load of endpoints.
 
 use std::collections::HashMap;
+use std::sync::MutexGuard;
 use std::time::Duration;
 
 use health::PathPenalty;
@@ -64,16 +65,9 @@
         }
     }
 
-    /// Gives load and path penalty of each of the endpoints to `visit`.
-    pub(crate) fn look_up<'a>(
-        &self,
-        endpoints: impl Iterator<Item = &'a EndpointName>,
-        now: Time,
-    ) -> Vec<(Option<KnownLoad>, Duration)> {
-        let known = lock(&self.endpoints);
-        endpoints
-            .map(|name| known.get(name).map_or((None, Duration::ZERO), |k| k.at(now)))
-            .collect()
+    /// Locks what is known, to look up several endpoints.
+    pub(crate) fn look_up(&self) -> KnownLoads<'_> {
+        KnownLoads(lock(&self.endpoints))
     }
 
     /// Forgets endpoints that have not been heard of for long.
@@ -87,6 +81,16 @@
     }
 }
 
+/// What is known, while it does not change.
+pub(crate) struct KnownLoads<'a>(MutexGuard<'a, HashMap<EndpointName, Known>>);
+
+impl KnownLoads<'_> {
+    /// Load of an endpoint and penalty of the path to it.
+    pub(crate) fn at(&self, endpoint: &EndpointName, now: Time) -> (Option<KnownLoad>, Duration) {
+        self.0.get(endpoint).map_or((None, Duration::ZERO), |known| known.at(now))
+    }
+}
+
 impl Known {
     fn at(&self, now: Time) -> (Option<KnownLoad>, Duration) {
         let load = self.report.map(|(report, at)| KnownLoad {
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Weak};
+use std::sync::{Arc, MutexGuard, Weak};
 use std::time::Duration;
 
 use config::{Chunks, Incoming, Replica};
@@ -97,6 +97,11 @@
         lock(&self.members).get(name).cloned()
     }
 
+    /// Locks the members, to look up several of them.
+    pub(crate) fn members(&self) -> MutexGuard<'_, HashMap<NodeName, Arc<Peer>>> {
+        lock(&self.members)
+    }
+
     pub(crate) fn all(&self) -> Vec<Arc<Peer>> {
         lock(&self.members).values().cloned().collect()
     }
@@ -393,14 +398,3 @@
         loads,
     })
 }
-
-impl Node {
-    /// The failure domain of a member.
-    pub(crate) fn domain_of(&self, name: &NodeName) -> FailureDomain {
-        if *name == self.info().node {
-            return self.info().domain.clone();
-        }
-        let peer = self.peers.find(name.as_str());
-        peer.map_or_else(|| self.info().domain.clone(), |peer| peer.domain.clone())
-    }
-}
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -191,8 +191,8 @@
         entry: EndpointEntry,
         now: Time,
     ) -> EndpointView {
-        let load = self.node.loads.look_up([&entry.name].into_iter(), now).pop();
-        let report = load.and_then(|(known, _)| known).map(|known| known.report);
+        let (load, _) = self.node.loads.look_up().at(&entry.name, now);
+        let report = load.map(|known| known.report);
         EndpointView {
             weights: self.weights(&service, &entry.name, now),
             name: entry.name,
@@ -220,12 +220,11 @@
             routes.filter_map(|route| route.name().parse().ok()).collect()
         };
         let weight = |route: model::RouteName| {
-            let endpoint = [endpoint].into_iter();
-            let weight = self.node.health.weights(service, &route, endpoint, now).pop()?;
+            let weight = self.node.health.look_up().weight(service, &route, endpoint, now);
             let weight_milli = u32::from(weight.value()) * 10;
-            Some(RouteWeight { route, weight_milli, ejected: weight_milli == 0 })
+            RouteWeight { route, weight_milli, ejected: weight_milli == 0 }
         };
-        routes.into_iter().filter_map(weight).collect()
+        routes.into_iter().map(weight).collect()
     }
 }
 
--- a/crates/routing/src/balancer.rs
+++ b/crates/routing/src/balancer.rs
@@ -178,13 +178,13 @@
                 && (candidate.stage == Stage::Regular || idempotence == Idempotence::Idempotent)
                 && !tried.contains(candidate.endpoint)
         };
-        let indexes = self.sample(candidates, &is_eligible, random);
-        let usual = Usual::of(indexes.iter().map(|&index| candidates.candidate(index)));
+        let drawn = self.sample(candidates, &is_eligible, random);
+        let usual = Usual::of(drawn.iter().map(|(_, candidate)| candidate));
         let mut best = Best::default();
         let mut reduced = Best::default();
-        for &index in &indexes {
-            let candidate = candidates.candidate(index);
-            let cost = self.cost(&candidate, &usual);
+        for (index, candidate) in &drawn {
+            let index = *index;
+            let cost = self.cost(candidate, &usual);
             if candidate.weight >= 100 || random.below(100) < usize::from(candidate.weight) {
                 best.offer(index, cost, random);
             } else {
@@ -194,7 +194,7 @@
             }
         }
         let (winner, reason) = match (best.index, reduced.index) {
-            (Some(index), _) if indexes.len() == 1 => (index, Reason::OnlyCandidate),
+            (Some(index), _) if drawn.len() == 1 => (index, Reason::OnlyCandidate),
             (Some(index), _) if best.ties > 1 => (index, Reason::TieBroken),
             (Some(index), _) => (index, Reason::LeastCost),
             (None, Some(index)) => (index, Reason::ReducedWeight),
@@ -206,32 +206,34 @@
             endpoint: candidate.endpoint.clone(),
             reason,
             cost: self.cost(&candidate, &usual),
-            considered: indexes.len(),
+            considered: drawn.len(),
         })
     }
 
-    /// Indexes of eligible candidates: all if there are few, else a random sample. Only where the
-    /// sample holds no eligible one are the others looked at in turn.
-    fn sample(
+    /// Eligible candidates with their indexes: all if there are few, else a random sample. Only
+    /// where the sample holds no eligible one are the others looked at in turn.
+    fn sample<'a>(
         &self,
-        candidates: &dyn Candidates,
+        candidates: &'a dyn Candidates,
         is_eligible: &dyn Fn(&Candidate<'_>) -> bool,
         random: &mut dyn RandomSource,
-    ) -> Vec<usize> {
+    ) -> Vec<(usize, Candidate<'a>)> {
         let count = candidates.count();
-        let eligible = |index: &usize| is_eligible(&candidates.candidate(*index));
+        let look = |index: usize| (index, candidates.candidate(index));
+        let eligible = |(_, candidate): &(usize, Candidate<'a>)| is_eligible(candidate);
         if count <= self.params.sample {
-            return (0..count).filter(eligible).collect();
+            return (0..count).map(look).filter(eligible).collect();
         }
-        let mut drawn: Vec<usize> = (0..self.params.sample).map(|_| random.below(count)).collect();
-        drawn.sort_unstable();
-        drawn.dedup();
-        drawn.retain(eligible);
-        if drawn.is_empty() {
-            let first = random.below(count);
-            drawn.extend((0..count).map(|step| (first + step) % count).find(eligible));
+        let mut indexes: Vec<usize> =
+            (0..self.params.sample).map(|_| random.below(count)).collect();
+        indexes.sort_unstable();
+        indexes.dedup();
+        let drawn: Vec<_> = indexes.into_iter().map(look).filter(eligible).collect();
+        if !drawn.is_empty() {
+            return drawn;
         }
-        drawn
+        let first = random.below(count);
+        (0..count).map(|step| look((first + step) % count)).find(eligible).into_iter().collect()
     }
 
     fn cost(&self, candidate: &Candidate<'_>, usual: &Usual) -> Duration {
@@ -270,7 +272,7 @@
 }
 
 impl Usual {
-    fn of<'a>(candidates: impl Iterator<Item = Candidate<'a>>) -> Usual {
+    fn of<'a>(candidates: impl Iterator<Item = &'a Candidate<'a>>) -> Usual {
         let (mut running, mut slots, mut reports) = (0u32, 0u32, 0u32);
         let mut service = Duration::ZERO;
         for KnownLoad { report, .. } in candidates.filter_map(|candidate| candidate.load) {
