Compare HTTP servers under half-open connections

cargo xtask http-libraries measures threads, memory and service of a rouille server and of the caller crate while connections send half a head.

--- a/xtask/src/load.rs
+++ b/xtask/src/load.rs
@@ -460,9 +460,14 @@
 }
 
 /// Resident memory of a process, in KB.
-pub fn resident_kb(pid: u32) -> Result<u64> {
+fn resident_kb(pid: u32) -> Result<u64> {
+    status_field(pid, "VmRSS:")
+}
+
+/// A number from the status of a process.
+pub fn status_field(pid: u32, field: &str) -> Result<u64> {
     let text = std::fs::read_to_string(format!("/proc/{pid}/status"))?;
-    let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let line = text.lines().find_map(|line| line.strip_prefix(field));
     let value = line.and_then(|line| line.split_whitespace().next());
-    value.and_then(|kb| kb.parse().ok()).ok_or_else(|| eyre::eyre!("process {pid} shows no VmRSS"))
+    value.and_then(|text| text.parse().ok()).ok_or_else(|| eyre::eyre!("{pid} has no {field}"))
 }
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -2,12 +2,15 @@
 
 mod demo;
 mod fleet;
+mod http_libraries;
 mod load;
 mod measure;
 mod slopes;
 mod test;
 
-use bpaf::{Parser, construct, pure};
+use std::net::SocketAddr;
+
+use bpaf::{Parser, construct, long, pure};
 use eyre::Result;
 
 /// What the developer asked for.
@@ -15,6 +18,7 @@
 enum Command {
     Demo,
     Load(load::Options),
+    HttpLibraries(Option<(String, SocketAddr)>),
     Test,
     Measure,
     Slopes,
@@ -24,6 +28,7 @@
     match command().run() {
         Command::Demo => demo::run(),
         Command::Load(options) => load::run(&options),
+        Command::HttpLibraries(server) => http_libraries::run(server.as_ref()),
         Command::Test => test::run(),
         Command::Measure => measure::run(),
         Command::Slopes => slopes::run(),
@@ -38,6 +43,14 @@
     let load = load::options().map(Command::Load).to_options().command("load").help(
         "Measure latency, calls per core and memory of a small fleet under an open-loop load",
     );
+    let name = long("server").help("Only run this server").argument::<String>("NAME");
+    let listen = long("listen").help("Where it listens").argument::<SocketAddr>("ADDR");
+    let http_libraries = construct!(name, listen)
+        .optional()
+        .map(Command::HttpLibraries)
+        .to_options()
+        .command("http-libraries")
+        .help("Compare HTTP servers under half-open connections");
     let test = pure(Command::Test).to_options().command("test").help("Run every test");
     let measure = pure(Command::Measure)
         .to_options()
@@ -47,7 +60,7 @@
         .to_options()
         .command("slopes")
         .help("Measure memory, bytes and processor time per object and per decision");
-    construct!([demo, load, test, measure, slopes])
+    construct!([demo, load, http_libraries, test, measure, slopes])
         .to_options()
         .descr("Developer commands of zinniacross")
 }
