Ask the successor of an owner that has left; end what a gone caller leaves

Cause: a handover is known only to its two ends until the platform records it, so with the platform away other entries kept asking the stopped node. They now ask the node that a stopping owner hands over to.

The attempts of a request are now a module of their own.

--- a/crates/node/src/health.rs
+++ b/crates/node/src/health.rs
@@ -18,6 +18,7 @@
 use tokio::time::{sleep, timeout};
 use wire::{Frame, HealthReply, HealthUpdate, Probe, ProbeReport};
 
+use crate::owners::node_to_ask;
 use crate::shared::{Map, Node, lock, read};
 
 /// Interval at which a node and the arbiters exchange reports and ejections.
@@ -206,7 +207,7 @@
     service: &ServiceName,
     update: HealthUpdate,
 ) -> Option<HealthReply> {
-    let owner = lock(&node.ownership).owner(partition_of(service)).cloned()?;
+    let owner = node_to_ask(node, partition_of(service))?;
     if owner == node.info().node {
         return Some(node.health.take_update(node, update));
     }
@@ -290,7 +291,8 @@
     routes.filter_map(view).collect()
 }
 
-/// Probes an endpoint of this instance, which takes one of its slots.
+/// Probes an endpoint of this instance. No calls go there while it is ejected, so the guard keeps no
+/// slot for the probe.
 async fn run_probe(node: Arc<Node>, service: ServiceName, probe: Probe) {
     let addr = lock(&node.announcements).endpoint(&probe.endpoint).map(|endpoint| endpoint.addr);
     let Some(addr) = addr else { return };
@@ -321,6 +323,9 @@
 
 fn arbitrate_service(node: &Node, service: &ServiceName, now: Time) {
     let id = partition_of(service);
+    if !lock(&node.health.arbiters).held.contains_key(&id) {
+        return;
+    }
     // In one step with the decision: a process that has lost the partition must not eject.
     let may_grant = {
         let ownership = lock(&node.ownership);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`run`] is the entry point. `shared` holds the state; each other module is one role or one loop.
 
 mod announce;
+mod attempts;
 mod clock;
 mod entry;
 mod guard;
--- a/crates/node/src/limiter.rs
+++ b/crates/node/src/limiter.rs
@@ -10,6 +10,7 @@
 use tokio::time::{sleep, timeout_at};
 use wire::{Frame, PartitionHandover};
 
+use crate::owners::node_to_ask;
 use crate::shared::{Map, Node, lock, read};
 
 /// Longest pause between two looks at the reports that are due.
@@ -180,12 +181,10 @@
         return;
     }
     let mut by_owner: HashMap<Option<NodeName>, Vec<TokenRequest>> = HashMap::new();
-    let ownership = lock(&node.ownership);
     for request in requests {
-        let owner = ownership.owner(request.partition).cloned();
+        let owner = node_to_ask(node, request.partition);
         by_owner.entry(owner).or_default().push(request);
     }
-    drop(ownership);
     for (owner, requests) in by_owner {
         match owner {
             Some(owner) if owner == node.info().node => {
--- a/crates/node/src/loads.rs
+++ b/crates/node/src/loads.rs
@@ -9,7 +9,7 @@
 use routing::{KnownLoad, LoadView};
 use wire::EndpointLoad;
 
-use crate::shared::{Map, lock};
+use crate::shared::{Map, Node, lock};
 
 /// Time without any news after which an endpoint is forgotten.
 const FORGET_AFTER: Duration = Duration::from_secs(60);
@@ -48,7 +48,7 @@
     }
 
     /// Notes that a call was sent.
-    pub(crate) fn sent(&self, endpoint: &EndpointName, now: Time) {
+    fn sent(&self, endpoint: &EndpointName, now: Time) {
         let mut endpoints = lock(&self.endpoints);
         let known = endpoints.entry(endpoint.clone()).or_default();
         known.view.sent(now);
@@ -56,7 +56,7 @@
     }
 
     /// Notes how the call ended that was sent at `sent_at`.
-    pub(crate) fn ended(&self, endpoint: &EndpointName, sent_at: Time, end: PathEnd, now: Time) {
+    fn ended(&self, endpoint: &EndpointName, sent_at: Time, end: PathEnd, now: Time) {
         let mut endpoints = lock(&self.endpoints);
         let known = endpoints.entry(endpoint.clone()).or_default();
         known.view.ended(sent_at);
@@ -104,7 +104,34 @@
     }
 }
 
+/// A call that was sent to an endpoint. Dropped without an end, for example because the caller went
+/// away, it tells nothing about the path, but it no longer counts as in flight.
+pub(crate) struct InFlight<'a> {
+    node: &'a Node,
+    endpoint: &'a EndpointName,
+    sent_at: Time,
+    end: PathEnd,
+}
+
+impl<'a> InFlight<'a> {
+    pub(crate) fn start(node: &'a Node, endpoint: &'a EndpointName, now: Time) -> InFlight<'a> {
+        node.loads.sent(endpoint, now);
+        InFlight { node, endpoint, sent_at: now, end: PathEnd::Neutral }
+    }
+
+    pub(crate) fn ended(mut self, end: PathEnd) {
+        self.end = end;
+    }
+}
+
+impl Drop for InFlight<'_> {
+    fn drop(&mut self) {
+        self.node.loads.ended(self.endpoint, self.sent_at, self.end, self.node.now());
+    }
+}
+
 /// How a call ended, as far as it tells something about the path.
+#[derive(Debug, Clone, Copy)]
 pub(crate) enum PathEnd {
     /// An answer came after this time.
     Answered(Duration),
--- a/crates/node/src/owners.rs
+++ b/crates/node/src/owners.rs
@@ -5,8 +5,12 @@
 use std::time::Duration;
 
 use log::{info, warn};
-use membership::{Candidate, HandoverReceived, LiveNodes, OwnerView, PlatformState, Step};
-use model::{Epoch, Kind, Object, ObjectKey, PartitionId, PartitionRecord, Revision, Time};
+use membership::{
+    Candidate, Confirmation, HandoverReceived, LiveNodes, OwnerView, PlatformState, Step,
+};
+use model::{
+    Epoch, Kind, NodeName, Object, ObjectKey, PartitionId, PartitionRecord, Revision, Time,
+};
 use platform::{Precondition, fresh_write_id, write_resolved};
 use tokio::sync::Semaphore;
 use tokio::time::sleep;
@@ -14,6 +18,7 @@
 
 use crate::shared::{Node, Phase, lock, read};
 use crate::sync::blocking;
+use crate::view::node_key;
 
 /// Pause between two looks at all partitions.
 const LOOK_INTERVAL: Duration = Duration::from_millis(200);
@@ -36,6 +41,17 @@
     Epoch(epoch.0 << HOP_BITS)
 }
 
+/// The node to ask about a partition: its owner, or, if that has left or is silent, the node that it
+/// hands over to. A handover is known only to its two ends until the platform has recorded it, which
+/// takes hours when the platform is away.
+pub(crate) fn node_to_ask(node: &Node, id: PartitionId) -> Option<NodeName> {
+    let owner = lock(&node.ownership).owner(id).cloned();
+    if owner.as_ref().is_some_and(|owner| node.peers.can_own(node, owner)) {
+        return owner;
+    }
+    node.peers.live(node).preferred(id, None).map(|candidate| candidate.name.clone())
+}
+
 /// Claims, keeps and gives up partitions.
 pub(crate) async fn run(node: Arc<Node>) {
     let writes = Arc::new(Semaphore::new(MAX_WRITES));
@@ -192,10 +208,11 @@
 /// of consecutive member lists always share a node.
 pub(crate) async fn remove_dead_members(node: Arc<Node>) {
     let mut silent_since = std::collections::HashMap::new();
+    let mut last_removal: Option<Confirmation> = None;
     loop {
         sleep(REMOVE_AFTER / 8).await;
         let now = node.now();
-        let mut oldest: Option<(model::NodeName, Time)> = None;
+        let mut oldest: Option<(NodeName, Time)> = None;
         {
             let config = read(&node.config);
             let lease = lock(&node.lease);
@@ -211,28 +228,37 @@
                 }
             }
         }
-        // One node does the work; the owner of the first partition is known to all.
-        let is_responsible = lock(&node.ownership).owner(PartitionId(0)) == Some(&node.info().node);
-        if let Some((name, since)) = oldest
-            && is_responsible
-            && now.since(since) >= REMOVE_AFTER
-            && crate::guard::require_lease(&node).is_ok()
-        {
-            remove_member(&node, &name).await;
+        let Some((name, since)) = oldest else { continue };
+        if now.since(since) >= REMOVE_AFTER && may_remove(&node, &mut last_removal) {
+            last_removal = remove_member(&node, &name).await.map(Confirmation::new);
         }
     }
 }
 
-async fn remove_member(node: &Arc<Node>, name: &model::NodeName) {
-    let key = ObjectKey::new(Kind::Node, name.as_str());
-    let Some(revision) = read(&node.config).member(name).map(|record| record.revision()) else {
-        return;
-    };
+/// One node does the work, the owner of the first partition, and waits until a majority has confirmed
+/// its last removal.
+fn may_remove(node: &Node, last_removal: &mut Option<Confirmation>) -> bool {
+    let ownership = lock(&node.ownership);
+    let lease = lock(&node.lease);
+    let now = node.now();
+    let is_confirmed = last_removal.as_mut().is_none_or(|last| last.is_complete(&lease, now));
+    is_confirmed && ownership.may_grant(PartitionId(0), &lease, now)
+}
+
+async fn remove_member(node: &Arc<Node>, name: &NodeName) -> Option<Revision> {
+    let key = node_key(name);
+    let revision = read(&node.config).member(name).map(|record| record.revision())?;
     let store = Arc::clone(&node.store);
     let removed =
         blocking(move || store.write(&key, Precondition::At(revision), None, &fresh_write_id()));
     match removed.await {
-        Ok(_) => info!("the record of {name} was removed after {REMOVE_AFTER:?} of silence"),
-        Err(err) => info!("the record of {name} was not removed: {err}"),
+        Ok(revision) => {
+            info!("the record of {name} was removed after {REMOVE_AFTER:?} of silence");
+            Some(revision)
+        }
+        Err(err) => {
+            info!("the record of {name} was not removed: {err}");
+            None
+        }
     }
 }
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -8,7 +8,7 @@
 
 use config::{Chunks, Incoming, Replica};
 use log::{info, warn};
-use membership::{AfterPong, Candidate, LiveNodes};
+use membership::{AfterPong, Candidate, LiveNodes, QuorumLease};
 use model::{FailureDomain, Incarnation, NodeName, ResultCode, Revision, Time};
 use payload::Payload;
 use peer::{ControlClient, ControlEvents, LinkError, PeerHandler, PeerInfo, Target};
@@ -122,19 +122,23 @@
         }
         let lease = lock(&node.lease);
         for peer in lock(&self.members).values() {
-            let link = lock(&peer.state.link);
-            let (Some(incarnation), Some(alive_since)) = (link.incarnation, link.alive_since)
-            else {
-                continue;
-            };
-            let can_own = link.last_pong.is_some_and(|pong| pong.synced && !pong.stopping);
-            if can_own && lease.is_alive(&peer.name, now) {
-                live.insert(Candidate { name: peer.name.clone(), incarnation, alive_since });
+            if let Some(candidate) = live_candidate(peer, &lease, now) {
+                live.insert(candidate);
             }
         }
         live
     }
 
+    /// Tells whether a member could own partitions.
+    pub(crate) fn can_own(&self, node: &Node, name: &NodeName) -> bool {
+        if *name == node.info().node {
+            return node.phase() == Phase::Serving;
+        }
+        let lease = lock(&node.lease);
+        let members = lock(&self.members);
+        members.get(name).is_some_and(|peer| live_candidate(peer, &lease, node.now()).is_some())
+    }
+
     /// Number of members heard from lately, the own node included.
     pub(crate) fn alive(&self, node: &Node) -> usize {
         let now = node.now();
@@ -143,6 +147,15 @@
     }
 }
 
+/// A member that is heard from, synced and not stopping.
+fn live_candidate(peer: &Peer, lease: &QuorumLease, now: Time) -> Option<Candidate> {
+    let link = lock(&peer.state.link);
+    let (incarnation, alive_since) = (link.incarnation?, link.alive_since?);
+    let can_own = link.last_pong.is_some_and(|pong| pong.synced && !pong.stopping);
+    let is_live = can_own && lease.is_alive(&peer.name, now);
+    is_live.then(|| Candidate { name: peer.name.clone(), incarnation, alive_since })
+}
+
 impl Peer {
     fn start(
         node: &Arc<Node>,
--- a/crates/node/src/records.rs
+++ b/crates/node/src/records.rs
@@ -32,6 +32,19 @@
     Answered(u16),
     /// An answer of the fleet.
     Coded(ResultCode),
+    /// The caller went away before there was an answer.
+    CallerGone,
+}
+
+impl End {
+    /// The label of the metric: `answered`, `caller_gone` or the number of the result code.
+    pub(crate) fn label(self) -> String {
+        match self {
+            End::Answered(_) => "answered".to_owned(),
+            End::Coded(code) => code.number().to_string(),
+            End::CallerGone => "caller_gone".to_owned(),
+        }
+    }
 }
 
 /// One request.
@@ -53,6 +66,7 @@
         let (status, code, outcome) = match self.end {
             End::Answered(status) => (status, 0, "answered".to_owned()),
             End::Coded(code) => (code.status(), code.number(), code.outcome().to_string()),
+            End::CallerGone => (0, 0, "caller gone".to_owned()),
         };
         serde_json::json!({
             "decision": "request",
@@ -68,6 +82,7 @@
             "reason": match self.end {
                 End::Answered(_) => "the upstream answered",
                 End::Coded(code) => code.text(),
+                End::CallerGone => "the caller went away",
             },
             "took_ms": self.took.as_secs_f64() * 1000.0,
         })
--- a/crates/node/src/sync.rs
+++ b/crates/node/src/sync.rs
@@ -50,6 +50,8 @@
                 note_contact(&node);
             }
             Err(StoreError::ListNeeded) => listed = false,
+            // The platform is there; it asks for fewer calls.
+            Err(StoreError::Throttled) => sleep(RETRY_PAUSE).await,
             Err(err) => {
                 if node.platform_reachable.swap(false, Ordering::Relaxed) {
                     warn!("the platform stopped answering: {err}");
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -249,10 +249,11 @@
         });
     }
     let (status, code, detail) = match record.end {
-        End::Answered(status) => (status, None, format!("answered with status {status}")),
+        End::Answered(status) => (Some(status), None, format!("answered with status {status}")),
+        End::CallerGone => (None, None, "the caller went away".to_owned()),
         End::Coded(code) => {
             let detail = format!("{code} ({})", code.outcome());
-            (code.status(), Some(code.number()), detail)
+            (Some(code.status()), Some(code.number()), detail)
         }
     };
     let at_us = record.took.as_micros() as u64;
@@ -262,7 +263,7 @@
         node: node.info().node.clone(),
         route: record.route,
         account: record.account,
-        status: Some(status),
+        status,
         code,
         decisions,
     }
