Remove the secret part of a caller's key where it stands alone

Cause: headers and query parameters were searched for whole keys only. A caller that sent its key and, elsewhere, only the secret part of it, passed the secret on to the upstream; the id of a key is public.

Ruled out: whole keys in other headers, in cookies, in upper case, percent-encoded or nominated by 'connection', and retried attempts; none of them reached an upstream.

Conclusion: once the key is known, its secret is searched for in what is left of the head.

--- a/crates/caller/src/sanitize.rs
+++ b/crates/caller/src/sanitize.rs
@@ -78,7 +78,38 @@
     let mut found = Found::default();
     let target = clean_target(uri, &mut found);
     let headers = clean_headers(headers, &mut found);
-    Ok(SanitizedHead { target, headers, key: found.key()? })
+    let head = SanitizedHead { target, headers, key: found.key()? };
+    match &head.key {
+        PresentedKey::One(key) => without_secret(key.clone(), head),
+        PresentedKey::Absent | PresentedKey::Malformed => Ok(head),
+    }
+}
+
+/// Removes the secret part of the key where it stands alone: the id is public, so whoever has the
+/// secret has the key.
+fn without_secret(key: CallerKey, mut head: SanitizedHead) -> Result<SanitizedHead, ResultCode> {
+    let text = key.reveal();
+    let secret = text.rsplit('_').next().unwrap_or(&text);
+    let (path, query) = head.target.split_once('?').unwrap_or((&head.target, ""));
+    if holds_text(path, secret) {
+        return Err(ResultCode::KeyMisplaced);
+    }
+    if holds_text(query, secret) {
+        head.target = path.into();
+    }
+    let carriers: Vec<HeaderName> = head
+        .headers
+        .iter()
+        .filter(|(name, value)| {
+            holds_text(name.as_str(), secret)
+                || holds_text(&String::from_utf8_lossy(value.as_bytes()), secret)
+        })
+        .map(|(name, _)| name.clone())
+        .collect();
+    for name in carriers {
+        head.headers.remove(name);
+    }
+    Ok(head)
 }
 
 /// Tells whether a path segment means the same to everybody. An upstream that resolves `..` or an
@@ -133,9 +164,17 @@
 
 /// Tells whether a text holds a key in any letter case, percent-encoded or spaced out.
 fn holds_key(text: &str) -> bool {
+    !CallerKey::find_all(&plain_text(text)).is_empty()
+}
+
+fn holds_text(text: &str, searched: &str) -> bool {
+    text.len() >= searched.len() && plain_text(text).contains(searched)
+}
+
+fn plain_text(text: &str) -> String {
     let mut plain = percent_decode(text).to_ascii_lowercase();
     plain.retain(|c| !c.is_whitespace());
-    !CallerKey::find_all(&plain).is_empty()
+    plain
 }
 
 fn clean_target(uri: &Uri, found: &mut Found) -> Box<str> {
