--- /dev/null
+++ b/crates/zinniacross/tests/calls.rs
@@ -0,0 +1,260 @@
+//! What callers and upstreams see of calls: at most one run, whole answers, no keys, no work after
+//! leaving.
+
+mod common;
+
+use std::collections::HashMap;
+use std::thread;
+use std::time::Instant;
+
+use common::caller::Lost;
+use common::{Connections, Done, Fleet, Plan, millis, seconds};
+use model::EndpointState;
+use standins::cut::Direction;
+use standins::process::{Signal, wait_until};
+use standins::upstream::Behaviour;
+
+fn fleet(slots: u32, behaviour: &Behaviour, timeout_ms: u64) -> Fleet {
+    let mut fleet = Fleet::start(3);
+    for node in 0..3 {
+        fleet.upstream(node, "orders", slots, behaviour.clone());
+    }
+    fleet.route("orders", "open", timeout_ms);
+    fleet.wait_served("/orders/ready", None);
+    fleet
+}
+
+fn plan(method: &'static str, pause_ms: u64) -> Plan {
+    Plan {
+        method,
+        path: "/orders/".to_owned(),
+        key: None,
+        pause: millis(pause_ms),
+        connections: Connections::Kept,
+    }
+}
+
+/// Runs of each target at all upstreams.
+fn runs(fleet: &Fleet) -> HashMap<String, u64> {
+    let mut runs = HashMap::new();
+    for upstream in &fleet.upstreams {
+        for seen in upstream.counts().seen {
+            let target = seen.split(' ').next().unwrap_or_default().to_owned();
+            *runs.entry(target).or_default() += 1;
+        }
+    }
+    runs
+}
+
+/// Guards against a second run of a non-idempotent call, and against a call that is answered as not
+/// run although it ran or runs later.
+fn check_at_most_once(fault: impl FnOnce(&Fleet)) {
+    let fleet = fleet(2, &Behaviour { service_ms: 100, ..Behaviour::default() }, 4000);
+    let entries = [0, 1].repeat(10);
+    let done: Vec<Done> = fleet.calls_while(&entries, &plan("POST", 0), || {
+        thread::sleep(seconds(1));
+        fault(&fleet);
+        thread::sleep(seconds(2));
+    });
+    thread::sleep(seconds(4));
+    let by_target = runs(&fleet);
+    let by_request: Vec<u64> =
+        fleet.upstreams.iter().flat_map(|u| u.counts().runs_by_request.into_values()).collect();
+    let run = |call: &Done| by_target.get(&call.target).copied().unwrap_or(0);
+    let unknown = done.iter().filter(|call| (2000..3000).contains(&call.code())).count();
+    let not_run: Vec<_> = done.iter().filter(|call| (1000..2000).contains(&call.code())).collect();
+    println!("{} calls, {} not run, {unknown} unknown", done.len(), not_run.len());
+    assert!(by_request.iter().all(|runs| *runs == 1), "a request id ran twice");
+    for call in &done {
+        assert!(run(call) <= 1, "{} ran twice", call.target);
+        assert!(!call.is_served() || run(call) == 1, "{} is answered and did not run", call.target);
+    }
+    for call in not_run {
+        assert_eq!(run(call), 0, "{} is answered as {} and ran", call.target, call.code());
+    }
+}
+
+#[test]
+fn non_idempotent_calls_run_once_when_the_guard_is_killed() {
+    check_at_most_once(|fleet| fleet.signal(2, Signal::Kill));
+}
+
+#[test]
+fn non_idempotent_calls_run_once_when_the_guard_is_paused_and_resumed() {
+    check_at_most_once(|fleet| {
+        fleet.signal(2, Signal::Pause);
+        thread::sleep(seconds(6));
+        fleet.signal(2, Signal::Resume);
+    });
+}
+
+/// Guards against new work for an upstream that has announced that it leaves.
+fn check_leaving(fault: impl FnOnce(&Fleet)) {
+    let fleet = fleet(4, &Behaviour { service_ms: 10, ..Behaviour::default() }, 3000);
+    let mut late = 0;
+    fleet.calls_while(&[0, 0, 1, 1], &plan("GET", 5), || {
+        thread::sleep(seconds(1));
+        let leaving =
+            Behaviour { service_ms: 10, state: EndpointState::Leaving, ..Behaviour::default() };
+        fleet.upstreams[2].set_behaviour(leaving);
+        fault(&fleet);
+        thread::sleep(seconds(3));
+        let before = fleet.upstreams[2].runs();
+        thread::sleep(seconds(3));
+        late = fleet.upstreams[2].runs() - before;
+    });
+    println!("{late} calls came to the leaving upstream after 3 s");
+    assert_eq!(late, 0);
+}
+
+#[test]
+fn leaving_upstream_gets_no_work() {
+    check_leaving(|_| {});
+}
+
+#[test]
+fn leaving_upstream_gets_no_work_over_a_link_that_is_cut_in_one_direction() {
+    check_leaving(|fleet| fleet.cut_link(0, 2, Direction::ToDialer));
+}
+
+#[test]
+fn leaving_upstream_gets_no_work_when_its_node_is_killed() {
+    check_leaving(|fleet| {
+        thread::sleep(millis(1100));
+        fleet.signal(2, Signal::Kill);
+    });
+}
+
+/// Guards against a cut answer that looks complete, and against large bodies that are cut.
+#[test]
+fn cut_answers_are_seen_as_cut_and_large_bodies_arrive_whole() {
+    const LARGE: usize = 30_000_000;
+    let mut fleet = Fleet::start(3);
+    // One upstream, so that entry 0 serves it itself and entry 1 over a link.
+    fleet.upstream(0, "files", 4, Behaviour::default());
+    let route = r#"{"prefix":"/","service":"files","access":"open","timeout_ms":30000,
+        "idempotent":["GET"],"retry_budget":20,"floor":50}"#;
+    fleet.put(model::Kind::Route, "files", route);
+    fleet.wait_served("/ready", None);
+    for entry in [0, 1] {
+        for size in [100, 1_000_000] {
+            let cut = fleet.caller(entry).get(&format!("/cut/{size}"), None);
+            let is_cut = matches!(cut, Err(Lost::Cut { received, .. }) if received < size)
+                || matches!(&cut, Ok(answer) if (2000..3000).contains(&answer.code()));
+            assert!(
+                is_cut,
+                "entry {entry}, {size} bytes: {:?}",
+                cut.map(|a| (a.status, a.body.len()))
+            );
+        }
+        for path in ["bytes", "chunked"] {
+            let started = Instant::now();
+            let answer = fleet.caller(entry).get(&format!("/{path}/{LARGE}"), None).unwrap();
+            println!("entry {entry}: {path} of 30 MB in {:?}", started.elapsed());
+            assert_eq!((answer.status, answer.body.len()), (200, LARGE));
+        }
+        let body: Vec<u8> = (0..LARGE).map(|index| (index % 251) as u8).collect();
+        let answer = fleet.caller(entry).call("POST", "/echo", None, &body).unwrap();
+        assert_eq!(answer.status, 200);
+        assert!(answer.body == body, "the request or the answer was changed");
+    }
+}
+
+/// Guards against a key that an upstream sees, whatever carried it, on first and further attempts.
+#[test]
+fn no_upstream_sees_a_key() {
+    let mut fleet = Fleet::start(3);
+    for node in 0..3 {
+        fleet.upstream(node, "orders", 4, Behaviour::default());
+    }
+    fleet.route("orders", "keyed", 2000);
+    let key = fleet.account("garden", 10_000, 10_000);
+    fleet.wait_served("/orders/ready", Some(&key));
+    // Answers of this upstream are lost, so that idempotent calls are sent again to others.
+    let drop_answers = Behaviour { drop_answers: true, ..Behaviour::default() };
+    fleet.upstreams[0].set_behaviour(drop_answers);
+    let text = key.reveal();
+    let secret = text.rsplit('_').next().unwrap().to_owned();
+    let upper = text.to_uppercase();
+    let escaped: String = text.bytes().map(|byte| format!("%{byte:02x}")).collect();
+    let good = format!("x-api-key: {text}\r\n");
+    let heads = [
+        good.clone(),
+        format!("Authorization: Bearer {text}\r\n"),
+        format!("AUTHORIZATION: {text}\r\n"),
+        format!("cookie: a=b; session={text}\r\n"),
+        format!("{good}X-Custom: {upper}\r\n"),
+        format!("{good}x-custom: {escaped}\r\n"),
+        format!("{good}referer: http://a/?k={text}\r\n"),
+        format!("{good}connection: x-custom\r\nx-custom: {text}\r\n"),
+        format!("{good}x-custom: {secret}\r\n"),
+    ];
+    let targets = [
+        "/orders/a".to_owned(),
+        format!("/orders/a?k={text}"),
+        format!("/orders/a?K={upper}&x=1"),
+        format!("/orders/a?k={escaped}"),
+        format!("/orders/a?k={secret}"),
+    ];
+    let mut served = 0;
+    for _ in 0..3 {
+        for (head, target) in heads.iter().flat_map(|h| targets.iter().map(move |t| (h, t))) {
+            let answer = fleet.caller(1).send("GET", target, head, b"").unwrap();
+            served += u32::from(answer.status == 200);
+        }
+    }
+    let seen: Vec<String> = fleet.upstreams.iter().flat_map(|u| u.counts().seen).collect();
+    println!("{served} served, {} seen by upstreams", seen.len());
+    assert!(served > 20 && fleet.upstreams[0].runs() > 0);
+    let leaks: Vec<_> = seen.iter().filter(|s| s.to_lowercase().contains(&secret)).collect();
+    assert!(leaks.is_empty(), "{} leaks, such as {:?}", leaks.len(), leaks[0]);
+}
+
+/// Guards against an upstream with a partial fault that stays in use, or that never comes back.
+fn check_ejection(fault: Behaviour) {
+    let mut fleet = Fleet::start(3);
+    let healthy = Behaviour { service_ms: 10, ..Behaviour::default() };
+    for index in 0..6 {
+        fleet.upstream(index % 3, "orders", 4, healthy.clone());
+    }
+    fleet.route("orders", "open", 3000);
+    fleet.wait_served("/orders/ready", None);
+    // The arbiter makes no ejection in its first 8 s.
+    let entries = [0, 1, 2].repeat(2);
+    fleet.calls_while(&entries, &plan("GET", 10), || {
+        thread::sleep(seconds(10));
+        let per_second = |span| {
+            let before = fleet.upstreams[0].runs();
+            thread::sleep(millis(span));
+            (fleet.upstreams[0].runs() - before) * 1000 / span
+        };
+        println!("healthy: {}/s", per_second(1000));
+        fleet.upstreams[0].set_behaviour(fault);
+        let started = Instant::now();
+        // An ejection lasts 5 s at least; shorter gaps may come from the weights of the entries.
+        let (mut runs, mut last_run) = (fleet.upstreams[0].runs(), started);
+        let is_ejected = wait_until(seconds(8), || {
+            if fleet.upstreams[0].runs() != runs {
+                (runs, last_run) = (fleet.upstreams[0].runs(), Instant::now());
+            }
+            last_run.elapsed() > millis(1500)
+        });
+        println!("no call after {:?}", last_run - started);
+        assert!(is_ejected && last_run - started < seconds(5));
+        fleet.upstreams[0].set_behaviour(healthy);
+        let healed = Instant::now();
+        let back = (0..75).find(|_| per_second(200) >= 10).map(|_| healed.elapsed());
+        println!("back after {back:?}");
+        assert!(back.is_some());
+    });
+}
+
+#[test]
+fn upstream_that_fails_one_call_in_three_is_ejected_and_comes_back() {
+    check_ejection(Behaviour { service_ms: 10, fail_one_in: 3, ..Behaviour::default() });
+}
+
+#[test]
+fn upstream_that_becomes_slow_is_ejected_and_comes_back() {
+    check_ejection(Behaviour { service_ms: 200, ..Behaviour::default() });
+}
--- a/crates/zinniacross/tests/stops.rs
+++ b/crates/zinniacross/tests/stops.rs
@@ -87,7 +87,8 @@
 /// A node that stops may refuse connections, and nothing else.
 fn is_failure(call: &Done, asked: Instant) -> bool {
     let may_refuse = call.entry == 2 && call.ended > asked;
-    !call.is_served() && !(may_refuse && matches!(call.result, Err(Lost::Refused)))
+    let is_refused = may_refuse && matches!(call.result, Err(Lost::Refused));
+    !call.is_served() && !is_refused
 }
 
 #[test]
