Remember 250,000 attempts instead of 100,000

Cause: at saturation the load tool saw thousands of answers with 503 and 502. The guard remembers an attempt until 5 s after its start-by deadline; with a timeout of 2 s and 25,000 calls/s its ledger of 100,000 was full after 4 s.

Ruled out: the limiter and the links; the failures start when the 100,000th call of the phase arrives.

Conclusion: the ledger is the bound on calls per second at long timeouts, 7,100 calls/s at 30 s, which is above the 2,000 that a node has to carry.

--- a/crates/admission/src/guard.rs
+++ b/crates/admission/src/guard.rs
@@ -140,9 +140,14 @@
     pub queue_per_slot: u32,
 }
 
+/// Attempts that a guard remembers, about 27 MB. An attempt is remembered until 5 s after its
+/// start-by deadline, so a node runs at most this number of calls in the timeout of a route plus
+/// 5 s: 7,100 calls/s at a timeout of 30 s.
+const LEDGER_ENTRIES: usize = 250_000;
+
 impl Default for GuardLimits {
     fn default() -> GuardLimits {
-        GuardLimits { ledger_entries: 100_000, queue_per_slot: 4 }
+        GuardLimits { ledger_entries: LEDGER_ENTRIES, queue_per_slot: 4 }
     }
 }
 
