--- a/crates/health/src/lib.rs
+++ b/crates/health/src/lib.rs
@@ -23,8 +23,11 @@
 mod arbiter;
 mod ejections;
 mod list;
+mod outliers;
 mod path;
+mod phase;
 mod recorder;
+mod route;
 mod stats;
 mod view;
 mod window;
