--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/fleet/common/mod.rs
@@ -1,5 +1,7 @@
 //! Small fakes for the sessions: the platform in memory and a recorder of frames.
 
+pub mod fleet;
+
 use std::collections::BTreeMap;
 use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::time::{Duration, Instant};
--- /dev/null
+++ b/crates/node/tests/fleet/main.rs
@@ -0,0 +1,5 @@
+//! Tests with several nodes in this process, as one program so that they share their fakes.
+
+mod access;
+mod common;
+mod sessions;
--- /dev/null
+++ b/crates/node/tests/fleet/sessions.rs
@@ -0,0 +1,111 @@
+//! Golden files of whole sessions: the calls to the platform, the frames between nodes and the
+//! answer to the caller. They guard against an unintended change of what is said to whom.
+//!
+//! `node-1` is the entry and has no upstream; `node-2` is in the same failure domain and therefore
+//! tried before `node-3`.
+
+use std::path::Path;
+use std::time::Duration;
+
+use crate::common::fleet::{Fleet, wait_for};
+use expect_test::expect_file;
+use hyper::Method;
+use model::{Access, Burst, CallerKey, EndpointState, Rate, Slots};
+use standins::upstream::{Behaviour, UpstreamStandin};
+
+/// Runs one session and compares it with its golden file.
+async fn check(fleet: &Fleet, name: &str, method: Method, path: &str, key: Option<&CallerKey>) {
+    fleet.session().take();
+    let answer = fleet.send(method.clone(), path, key).await;
+    let carried = if key.is_some() { "a key" } else { "no key" };
+    let mut lines = vec![format!("caller -> node-1: {method} {path} with {carried}")];
+    lines.extend(take_lines(fleet));
+    lines.push(format!("node-1 -> caller: {} {}", answer.status, answer.text));
+    compare(name, &lines);
+}
+
+/// Takes the lines so far without the moves of partitions, which happen at any time.
+fn take_lines(fleet: &Fleet) -> Vec<String> {
+    let is_move = |line: &String| line.contains("HandoverReply") || line.contains("partition/");
+    fleet.session().take().into_iter().filter(|line| !is_move(line)).collect()
+}
+
+fn compare(name: &str, lines: &[String]) {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join(format!("tests/golden/{name}.txt"));
+    expect_file![path].assert_eq(&format!("{}\n", lines.join("\n")));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn sessions_equal_their_golden_files() {
+    let mut fleet = Fleet::start().await;
+    let garden = CallerKey::from_random([1; 8], [1; 20]);
+    let spent = CallerKey::from_random([2; 8], [2; 20]);
+    let unknown = CallerKey::from_random([3; 8], [3; 20]);
+    fleet.create_route("orders", Access::Keyed);
+    fleet.create_route("refunds", Access::Keyed);
+    fleet.create_account("garden", Rate::per_second(10_000), Burst(10_000), &garden);
+    fleet.create_account("spent", Rate::per_second(0), Burst(1), &spent);
+    let near = fleet.start_upstream("orders-near", "orders", 1, Slots(3)).await;
+    let far = fleet.start_upstream("orders-far", "orders", 2, Slots(3)).await;
+    let refunds = fleet.start_upstream("refunds-1", "refunds", 2, Slots(3)).await;
+    wait_for(&fleet, "/orders/0", &garden, 200).await;
+    wait_for(&fleet, "/refunds/0", &garden, 200).await;
+    // Both endpoints of the route must be known, or the first choice is not the near one.
+    near.set_behaviour(Behaviour { shed: true, ..Behaviour::default() });
+    wait_for(&fleet, "/orders/0", &garden, 200).await;
+    near.set_behaviour(Behaviour::default());
+    tokio::time::sleep(Duration::from_secs(3)).await;
+
+    check(&fleet, "served", Method::GET, "/orders/1", Some(&garden)).await;
+    check(&fleet, "refused-key", Method::GET, "/orders/1", Some(&unknown)).await;
+    check(&fleet, "refused-no-key", Method::GET, "/orders/1", None).await;
+    check(&fleet, "refused-rate", Method::GET, "/orders/1", Some(&spent)).await;
+
+    near.set_behaviour(Behaviour { shed: true, ..Behaviour::default() });
+    check(&fleet, "retried", Method::POST, "/orders/1", Some(&garden)).await;
+    near.set_behaviour(Behaviour::default());
+
+    refunds.set_behaviour(Behaviour { drop_answers: true, ..Behaviour::default() });
+    check(&fleet, "unknown", Method::POST, "/refunds/1", Some(&garden)).await;
+    refunds.set_behaviour(Behaviour::default());
+    assert!(far.counts().runs > 0);
+
+    leave(&fleet, &near).await;
+    stop(&mut fleet).await;
+    for node in fleet.nodes.drain(..) {
+        node.stop().await;
+    }
+}
+
+/// An upstream announces that it leaves: its node tells the others, and no call goes there.
+async fn leave(fleet: &Fleet, near: &UpstreamStandin) {
+    fleet.session().take();
+    near.set_behaviour(Behaviour { state: EndpointState::Leaving, ..Behaviour::default() });
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let mut lines = vec!["orders-near announces: leaving".to_owned()];
+    lines.extend(sorted(take_lines(fleet)));
+    let garden = CallerKey::from_random([1; 8], [1; 20]);
+    let answer = fleet.send(Method::GET, "/orders/1", Some(&garden)).await;
+    lines.push("caller -> node-1: GET /orders/1 with a key".to_owned());
+    lines.extend(take_lines(fleet));
+    lines.push(format!("node-1 -> caller: {} {}", answer.status, answer.text));
+    compare("leave", &lines);
+}
+
+/// A node stops gracefully: it tells the others, hands its partitions over and removes its record.
+async fn stop(fleet: &mut Fleet) {
+    fleet.session().take();
+    fleet.nodes.remove(1).stop().await;
+    let is_claim = |line: &String| line.starts_with("platform: write partition/");
+    let lines = fleet.session().take().into_iter().filter(|line| !is_claim(line)).collect();
+    let mut lines = sorted(lines);
+    // The number of partitions that each node owns is not part of the session.
+    lines.dedup();
+    compare("stop", &lines);
+}
+
+/// Sorts lines whose order differs from run to run, because they go to several nodes at once.
+fn sorted(mut lines: Vec<String>) -> Vec<String> {
+    lines.sort();
+    lines
+}
