Index the routes by service for the health exchange

Before: a scan for each service, twice to four times a second. After: a lookup in an index that is made anew when a route has changed.

--- a/crates/node/src/health.rs
+++ b/crates/node/src/health.rs
@@ -164,12 +164,9 @@
 pub(crate) async fn exchange(node: Arc<Node>) {
     loop {
         sleep(EXCHANGE_INTERVAL).await;
-        let services: std::collections::BTreeSet<ServiceName> = {
-            let config = read(&node.config);
-            config.routes().map(|route| route.policy().service.clone()).collect()
-        };
-        for service in services {
-            tokio::spawn(exchange_service(Arc::clone(&node), service));
+        let routes = node.routes.current(&read(&node.config));
+        for service in routes.keys() {
+            tokio::spawn(exchange_service(Arc::clone(&node), service.clone()));
         }
         node.loads.sweep(node.now());
     }
@@ -269,9 +266,9 @@
 
 /// The routes of a service with all endpoints that their selectors pick.
 fn route_views(node: &Node, service: &ServiceName, now: Time) -> Vec<RouteView> {
-    let config = read(&node.config);
+    let index = node.routes.current(&read(&node.config));
+    let routes = index.get(service).map(Vec::as_slice).unwrap_or_default().iter();
     let directory = read(&node.directory);
-    let routes = config.routes().filter(|route| route.policy().service == *service);
     let view = |route: &Arc<config::RouteEntry>| {
         let policy = route.policy();
         let picked =
@@ -311,12 +308,9 @@
     loop {
         sleep(DECIDE_INTERVAL).await;
         let now = node.now();
-        let services: std::collections::BTreeSet<ServiceName> = {
-            let config = read(&node.config);
-            config.routes().map(|route| route.policy().service.clone()).collect()
-        };
-        for service in services {
-            arbitrate_service(&node, &service, now);
+        let routes = node.routes.current(&read(&node.config));
+        for service in routes.keys() {
+            arbitrate_service(&node, service, now);
         }
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -16,6 +16,7 @@
 mod peers;
 mod records;
 mod retries;
+mod routes;
 mod shared;
 mod stop;
 mod sync;
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -28,6 +28,7 @@
 use crate::peers::Peers;
 use crate::records::Records;
 use crate::retries::RetryBudgets;
+use crate::routes::RouteIndex;
 
 /// Whether the node takes part in the fleet.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -47,6 +48,7 @@
     pub(crate) clock: Arc<MonotonicClock>,
     pub(crate) store: Arc<dyn ObjectStore>,
     pub(crate) config: RwLock<Replica>,
+    pub(crate) routes: RouteIndex,
     pub(crate) directory: RwLock<Directory>,
     pub(crate) ownership: Mutex<Ownership>,
     pub(crate) lease: Mutex<QuorumLease>,
@@ -100,6 +102,7 @@
             identity: identity.clone(),
             store,
             config: RwLock::new(Replica::new()),
+            routes: RouteIndex::default(),
             directory: RwLock::new(Directory::new(name.clone())),
             ownership: Mutex::new(Ownership::new(name.clone(), incarnation, partitions)),
             lease: Mutex::new(QuorumLease::new(name.clone())),
