--- a/crates/zinniacross/tests/rates.rs
+++ b/crates/zinniacross/tests/rates.rs
@@ -4,7 +4,7 @@
 
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use common::{Connections, Done, Fleet, Plan, millis, seconds};
 use model::CallerKey;
@@ -57,16 +57,19 @@
     modest: Vec<Done>,
 }
 
-/// Sends several times the rate on every entry, and a modest load beside it, while `during` runs.
-fn measure(setup: &Setup, during: impl FnOnce(&Fleet) + Send) -> Measured {
-    let Setup { fleet, greedy, modest } = setup;
-    let plan = |name: &str, key: &CallerKey, pause| Plan {
+fn plan(name: &str, key: &CallerKey, pause: Duration) -> Plan {
+    Plan {
         method: "GET",
         path: format!("/{name}/"),
         key: Some(key.clone()),
         pause,
         connections: Connections::Kept,
-    };
+    }
+}
+
+/// Sends several times the rate on every entry, and a modest load beside it, while `during` runs.
+fn measure(setup: &Setup, during: impl FnOnce(&Fleet) + Send) -> Measured {
+    let Setup { fleet, greedy, modest } = setup;
     let greedy_plan = plan("greedy", greedy, millis(20));
     let modest_plan = plan("modest", modest, millis(100));
     let stop = AtomicBool::new(false);
@@ -206,3 +209,22 @@
 fn rates_hold_after_an_owner_was_paused_and_replaced() {
     check_paused(false);
 }
+
+/// Guards against entries that keep asking a node that has handed its partitions over and left. The
+/// platform, which would tell them, is away. Each of the two entries left must get the whole rate
+/// when it alone has the callers.
+#[test]
+fn partitions_handed_over_without_platform_are_found_by_every_entry() {
+    let Setup { fleet, greedy, .. } = setup();
+    fleet.signal(0, Signal::Terminate);
+    thread::sleep(seconds(5));
+    for entry in [1, 2] {
+        let started = Instant::now();
+        let done = fleet.calls_while(&[entry; 8], &plan("greedy", &greedy, millis(20)), || {
+            thread::sleep(seconds(5))
+        });
+        let rate = served_per_second(&done, started + seconds(1), started + seconds(5));
+        println!("entry {entry}: served {rate:.1}/s of {RATE}/s after an owner has left");
+        assert!(rate > 0.95 * f64::from(RATE), "entry {entry} got {rate:.1}/s");
+    }
+}
