Name what triggers heartbeats and the wait for refusals by usual terms

Found in a read-through: 'hurry' and 'last word' were figurative, and the comment on probes said that no calls reach an ejected endpoint, although those of its other routes do.

--- a/crates/node/src/attempts.rs
+++ b/crates/node/src/attempts.rs
@@ -32,7 +32,7 @@
 const FENCE_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Time after a deadline in which the guard's refusal of a call that is still queued may arrive.
-const LAST_WORD: Duration = Duration::from_millis(20);
+const REFUSAL_GRACE: Duration = Duration::from_millis(20);
 
 /// Weight below which an endpoint takes only idempotent calls: the trickle of its probation.
 const PROBATION_WEIGHT: u8 = 10;
@@ -240,7 +240,7 @@
         if *entry.node == node.info().node {
             let call = self.call(attempt, entry, self.deadline, patience);
             let body = self.take_body();
-            let reply = timeout_at(self.last_word(Duration::ZERO), guard::serve(node, call, body));
+            let reply = timeout_at(self.give_up_at(Duration::ZERO), guard::serve(node, call, body));
             let result = match reply.await {
                 Ok(reply) => from_reply(reply),
                 Err(_) => Err(AttemptEnd::Unknown { code: ResultCode::DeadlineAfterStart }),
@@ -287,7 +287,7 @@
         round_trip: Duration,
     ) -> Result<CallAnswer, AttemptEnd> {
         let node = self.node;
-        match timeout_at(self.last_word(round_trip), node.call_pool.call(target, call, body)).await
+        match timeout_at(self.give_up_at(round_trip), node.call_pool.call(target, call, body)).await
         {
             Ok(Ok(answer)) => {
                 node.loads.update([&answer.load], node.now(), round_trip);
@@ -309,8 +309,8 @@
 
     /// Time at which the entry stops to wait. The guard refuses what is still queued at the deadline;
     /// its refusal, which proves that the call did not run, needs a moment to arrive.
-    fn last_word(&self, round_trip: Duration) -> Instant {
-        self.node.clock.instant(self.deadline + LAST_WORD + round_trip)
+    fn give_up_at(&self, round_trip: Duration) -> Instant {
+        self.node.clock.instant(self.deadline + REFUSAL_GRACE + round_trip)
     }
 
     async fn fence(&self, made: &Made) -> FenceResult {
--- a/crates/node/src/health.rs
+++ b/crates/node/src/health.rs
@@ -288,8 +288,9 @@
     routes.filter_map(view).collect()
 }
 
-/// Probes an endpoint of this instance. No calls go there while it is ejected, so the guard keeps no
-/// slot for the probe.
+/// Probes an endpoint of this instance. The guard keeps no slot for the probe: the calls of the route
+/// go elsewhere. If those of other routes take all slots, the upstream sheds the probe, which counts
+/// as bad and is repeated later.
 async fn run_probe(node: Arc<Node>, service: ServiceName, probe: Probe) {
     let addr = lock(&node.announcements).endpoint(&probe.endpoint).map(|endpoint| endpoint.addr);
     let Some(addr) = addr else { return };
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -231,7 +231,7 @@
         *lock(&self.state.link) =
             LinkState { incarnation: Some(welcome.incarnation), ..LinkState::default() };
         info!("link to {} is up", welcome.node);
-        node.hurry_heartbeat();
+        node.trigger_heartbeat();
     }
 
     fn link_down(&self, err: &LinkError) {
@@ -245,14 +245,14 @@
 
 /// Sends heartbeats to one peer until it is no longer a member.
 async fn heartbeat(node: Arc<Node>, peer: Weak<Peer>) {
-    let mut hurry = node.ping_now.subscribe();
+    let mut triggered = node.ping_now.subscribe();
     loop {
         let Some(current) = peer.upgrade() else { return };
         tokio::spawn(ping(Arc::clone(&node), current));
         let earliest = Instant::now() + MIN_PING_PAUSE;
         tokio::select! {
             () = sleep_until(Instant::now() + PING_INTERVAL) => {}
-            _ = hurry.changed() => sleep_until(earliest).await,
+            _ = triggered.changed() => sleep_until(earliest).await,
         }
     }
 }
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -149,7 +149,7 @@
     }
 
     /// Sends the next heartbeat at once, because something has changed that peers should see.
-    pub(crate) fn hurry_heartbeat(&self) {
+    pub(crate) fn trigger_heartbeat(&self) {
         self.ping_now.send_modify(|count| *count += 1);
     }
 }
--- a/crates/node/src/sync.rs
+++ b/crates/node/src/sync.rs
@@ -155,7 +155,7 @@
         info!("configuration is at revision {revision}");
         node.metrics.revision.set(revision.0 as i64);
         node.config_changed.notify_waiters();
-        node.hurry_heartbeat();
+        node.trigger_heartbeat();
     }
 }
 
@@ -302,7 +302,7 @@
         }
     }
     // The next heartbeat confirms the revision to this node without a wait of a second.
-    node.hurry_heartbeat();
+    node.trigger_heartbeat();
 }
 
 /// Takes the configuration from a seed when the platform is away at the start.
