Run every measurement as a release build

Cause: 'cargo xtask measure' and 'slopes', as the README prints them, ran without optimization; the slopes did not finish in 150 s and were several times too high (a change of an account 4.0 us instead of 0.8 us).

Before: only 'load' ran itself again in release.

--- a/xtask/src/load.rs
+++ b/xtask/src/load.rs
@@ -8,7 +8,6 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::process::Command;
 use std::sync::mpsc::{self, RecvTimeoutError};
 use std::thread::JoinHandle;
 use std::time::Duration;
@@ -105,17 +104,8 @@
     })
 }
 
-/// Runs the measurement. An unoptimized client would use more processor time than the nodes, so
-/// the command runs itself again as a release build.
+/// Runs the measurement.
 pub fn run(options: &Options) -> Result<()> {
-    if cfg!(debug_assertions) {
-        let status = Command::new(env!("CARGO"))
-            .args(["run", "--quiet", "--release", "--locked", "-p", "xtask", "--"])
-            .args(std::env::args_os().skip(1))
-            .status()?;
-        ensure!(status.success(), "the release build of the command failed: {status}");
-        return Ok(());
-    }
     let log = format!("[log]\nlevel = {}\n", options.log);
     let mut fleet = Fleet::start(Programs::build()?, NODES, &log)?;
     let slots = options.slots.to_string();
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -9,9 +9,10 @@
 mod test;
 
 use std::net::SocketAddr;
+use std::process;
 
 use bpaf::{Parser, construct, long, positional, pure};
-use eyre::Result;
+use eyre::{Result, ensure};
 
 /// What the developer asked for.
 #[derive(Debug, Clone)]
@@ -25,7 +26,11 @@
 }
 
 fn main() -> Result<()> {
-    match command().run() {
+    let command = command().run();
+    if cfg!(debug_assertions) && command.is_measurement() {
+        return run_in_release();
+    }
+    match command {
         Command::Demo => demo::run(),
         Command::Load(options) => load::run(&options),
         Command::HttpLibraries(server) => http_libraries::run(server.as_ref()),
@@ -35,6 +40,26 @@
     }
 }
 
+impl Command {
+    fn is_measurement(&self) -> bool {
+        match self {
+            Command::Load(_) | Command::Measure(_) | Command::Slopes => true,
+            Command::Demo | Command::HttpLibraries(_) | Command::Test => false,
+        }
+    }
+}
+
+/// Runs the same command again as a release build. Figures of an unoptimized build are several times
+/// too high, and a client without optimization takes more processor time than the nodes.
+fn run_in_release() -> Result<()> {
+    let status = process::Command::new(env!("CARGO"))
+        .args(["run", "--quiet", "--release", "--locked", "-p", "xtask", "--"])
+        .args(std::env::args_os().skip(1))
+        .status()?;
+    ensure!(status.success(), "the release build of the command failed: {status}");
+    Ok(())
+}
+
 fn command() -> bpaf::OptionParser<Command> {
     let demo = pure(Command::Demo)
         .to_options()
