Keep the list of connection headers in one place

The entry and the guard each had a copy of the seven headers that concern one connection only; a header added to one would have been missed in the other. Nothing changes in what is passed on.

--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -9,7 +9,7 @@
 mod sanitize;
 mod server;
 
-pub use sanitize::{PresentedKey, SanitizedHead, sanitize};
+pub use sanitize::{HOP_HEADERS, PresentedKey, SanitizedHead, sanitize};
 pub use server::{CallerConfig, CallerHandler, CallerRequest, PendingAnswer, Shutdown, serve};
 
 use bytes::Bytes;
--- a/crates/caller/src/sanitize.rs
+++ b/crates/caller/src/sanitize.rs
@@ -7,22 +7,21 @@
 /// Headers that are meant to carry a key. They are never passed on, whatever they hold.
 const KEY_HEADERS: [&str; 3] = ["authorization", "proxy-authorization", "x-api-key"];
 
-/// Headers that concern one connection only, or that the fleet sets itself. Lengths are dropped
-/// because each hop frames the body anew, which rules out request smuggling.
-const HOP_HEADERS: [&str; 11] = [
+/// Headers that concern one connection only, in requests and in answers.
+pub const HOP_HEADERS: [&str; 7] = [
     "connection",
     "keep-alive",
     "proxy-connection",
     "te",
     "trailer",
     "transfer-encoding",
-    "content-length",
     "upgrade",
-    "expect",
-    "x-request-id",
-    "x-deadline-ms",
 ];
 
+/// Further headers of requests that are not passed on: the fleet sets them itself. Lengths are
+/// dropped because each hop frames the body anew, which rules out request smuggling.
+const REPLACED_HEADERS: [&str; 4] = ["content-length", "expect", "x-request-id", "x-deadline-ms"];
+
 /// Length of a key, in bytes. No shorter text holds one, however it is encoded.
 const KEY_BYTES: usize = 60;
 
@@ -253,7 +252,8 @@
         if split.contains(&name) {
             continue;
         }
-        if HOP_HEADERS.contains(&name.as_str()) || nominated.contains(name) {
+        let is_dropped = |names: &[&str]| names.contains(&name.as_str());
+        if is_dropped(&HOP_HEADERS) || is_dropped(&REPLACED_HEADERS) || nominated.contains(name) {
             continue;
         }
         kept.append(name.clone(), value.clone());
--- a/crates/node/src/guard.rs
+++ b/crates/node/src/guard.rs
@@ -39,17 +39,6 @@
 /// Header that tells an upstream how many milliseconds are left.
 const DEADLINE_HEADER: &str = "x-deadline-ms";
 
-/// Headers of an answer that concern the connection to the upstream only.
-const HOP_HEADERS: [&str; 7] = [
-    "connection",
-    "keep-alive",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-];
-
 /// The guard core with what belongs to each attempt in it.
 pub(crate) struct LocalGuard {
     state: Mutex<State>,
@@ -409,7 +398,7 @@
 }
 
 fn answer_headers(headers: &HeaderMap) -> Vec<Header> {
-    let kept = headers.iter().filter(|(name, _)| !HOP_HEADERS.contains(&name.as_str()));
+    let kept = headers.iter().filter(|(name, _)| !caller::HOP_HEADERS.contains(&name.as_str()));
     kept.map(|(name, value)| Header {
         name: name.as_str().into(),
         value: value.as_bytes().to_vec(),
