Wait for every partition before a process test begins, and end call loops when a check fails

The fixture waited until all partitions had a record and each node held one. A claimed partition is without an owner until the claim is confirmed and 4.2 s have passed, so the test took the platform away and stopped node 0 while 36 and 26 of 256 partitions were still waiting. One of them held a sixth of the account's rate, and without the platform nobody can claim it.

The test that hung for 9 minutes did not hang in the product: a check inside `calls_while` failed, and the thread scope then joined loops of calls that nobody had told to stop.

Ruled out: an entry that asks the wrong node. In the logs of two failed runs each partition that was handed over is held by the node that the entries ask, and the missing ones were never held.

The check and its bound are unchanged.

Conclusion: the fixture counts partitions in the metrics of the nodes, and a guard object stops loops of calls when the code beside them panics.

--- a/crates/standins/src/process.rs
+++ b/crates/standins/src/process.rs
@@ -109,6 +109,9 @@
     pub extra: String,
 }
 
+/// Name of the metric that counts the partitions of a node.
+const PARTITIONS_METRIC: &str = "zinniacross_partitions_owned ";
+
 /// A node as a process.
 pub struct NodeProcess {
     /// The process.
@@ -159,6 +162,15 @@
         ureq::get(&format!("http://{}/ready", self.operator)).call().is_ok()
     }
 
+    /// Number of partitions that the node holds, by its metrics.
+    pub fn partitions_held(&self) -> Option<u32> {
+        let req = ureq::get(&format!("http://{}/metrics", self.operator));
+        let answer = req.header("authorization", format!("Bearer {CREDENTIAL}")).call();
+        let text = answer.ok()?.body_mut().read_to_string().ok()?;
+        let line = text.lines().find_map(|line| line.strip_prefix(PARTITIONS_METRIC))?;
+        line.trim().parse().ok()
+    }
+
     /// Waits until the node is ready.
     pub fn wait_ready(&self, within: Duration) -> io::Result<()> {
         match wait_until(within, || self.is_ready()) {
--- a/crates/zinniacross/tests/common/mod.rs
+++ b/crates/zinniacross/tests/common/mod.rs
@@ -134,21 +134,26 @@
     /// What keeps the fleet from its steady state.
     fn unsettled(&self) -> Vec<String> {
         let Ok(listing) = self.store.list() else { return vec!["no listing".to_owned()] };
-        let of = |kind| listing.objects.iter().filter(|o| o.key.kind == kind).count();
         let mut missing = Vec::new();
-        let (nodes, partitions) = (of(Kind::Node), of(Kind::Partition));
-        if nodes != self.nodes.len() || partitions != usize::from(limits::PARTITIONS) {
-            missing.push(format!("{nodes} nodes, {partitions} partitions"));
+        let nodes = listing.objects.iter().filter(|o| o.key.kind == Kind::Node).count();
+        if nodes != self.nodes.len() {
+            missing.push(format!("{nodes} nodes"));
         }
+        // A claimed partition is without an owner until the claim has been confirmed and its wait
+        // has passed, so the records of the platform do not tell.
+        let mut held = 0;
         for (index, node) in self.nodes.iter().enumerate() {
             if !node.is_ready() {
                 missing.push(format!("node {index} is not ready"));
             }
-            let log = self.log(index);
-            let (owned, taken) = ("is owned with", "was taken over");
-            if !log.contains(owned) && !log.contains(taken) {
+            let partitions = node.partitions_held().unwrap_or(0);
+            if partitions == 0 {
                 missing.push(format!("node {index} owns nothing"));
             }
+            held += partitions;
+        }
+        if held != u32::from(limits::PARTITIONS) {
+            missing.push(format!("{held} partitions have an owner"));
         }
         missing
     }
@@ -317,6 +322,16 @@
     Outgoing,
 }
 
+/// Ends loops of calls, also when the code beside them panics: otherwise a failed check would hang
+/// the test.
+pub struct StopOnDrop<'a>(pub &'a AtomicBool);
+
+impl Drop for StopOnDrop<'_> {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+}
+
 /// Runs a loop of calls on each of the given entries while `during` runs.
 pub fn calls_on(entries: &[(usize, SocketAddr)], plan: &Plan, during: impl FnOnce()) -> Vec<Done> {
     let stop = AtomicBool::new(false);
@@ -327,8 +342,11 @@
             scope.spawn(move || call_until(entry, caller, &Plan { path, ..plan.clone() }, stop))
         };
         let loops: Vec<_> = entries.iter().enumerate().map(start).collect();
-        during();
-        stop.store(true, Ordering::Relaxed);
+        {
+            // The scope joins the loops before it passes on a panic of `during`.
+            let _stop = StopOnDrop(&stop);
+            during();
+        }
         loops.into_iter().flat_map(|calls| calls.join().unwrap()).collect()
     })
 }
--- a/crates/zinniacross/tests/rates.rs
+++ b/crates/zinniacross/tests/rates.rs
@@ -6,7 +6,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use common::{Connections, Done, Fleet, Plan, millis, seconds};
+use common::{Connections, Done, Fleet, Plan, StopOnDrop, millis, seconds};
 use model::CallerKey;
 use standins::platform::Faults;
 use standins::process::Signal;
@@ -92,8 +92,10 @@
                 }
             })
         });
-        let greedy = fleet.calls_while(&entries, &greedy_plan, || during(fleet));
-        stop.store(true, Ordering::Relaxed);
+        let greedy = {
+            let _stop = StopOnDrop(&stop);
+            fleet.calls_while(&entries, &greedy_plan, || during(fleet))
+        };
         let (samples, modest) = (sampler.join().unwrap(), modest.join().unwrap());
         Measured { samples, greedy, modest }
     })
