--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -9,7 +9,10 @@
 //! grant expires. The entry stops using a grant before the owner considers it expired, so the calls
 //! in any window of length `t` are at most `burst + rate * t`.
 
+mod account;
+mod demand;
 mod entry;
+mod grants;
 mod message;
 mod owner;
 mod share;
