Say nothing when the reader of a command's output has ended

Cause: `zinniacross fleet state | head` printed "error: the output can't be written: Broken pipe". Ruled out: exit code 0, because the command may not have finished its work when the pipe breaks. After: empty stderr, exit code 1. Conclusion: a broken pipe is the usual end of a reader and no error of the operator's.

--- a/crates/zinniacross/src/main.rs
+++ b/crates/zinniacross/src/main.rs
@@ -1,5 +1,6 @@
 //! The `zinniacross` binary: the node process and the commands of operators.
 
+use std::io::ErrorKind;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
@@ -25,6 +26,9 @@
     let env = commands::Environment::from_process(&check_settings);
     match commands::run(command, &env, &mut std::io::stdout(), &mut std::io::stderr()) {
         Ok(exit) => ExitCode::from(exit.code()),
+        // The reader has seen enough, as in `zinniacross state | head`. Whether the command succeeded
+        // is not known, so the exit code is not 0.
+        Err(err) if err.kind() == ErrorKind::BrokenPipe => ExitCode::FAILURE,
         Err(err) => {
             eprintln!("error: the output can't be written: {err}");
             ExitCode::FAILURE
