Bound retries after attempts without cost by the answers instead of the budget

Cause: the retry budget of a route (20% of calls) counted every retry, also those after a refused connection. When an upstream process is killed while its node lives, a large part of the calls meet it, since an endpoint that refuses at once looks idle. The budget is used up and the rest is refused with 1017, although other endpoints have free slots.

Now a retry after 1013, 1017, 1018, 1019 or 1025, where nothing ran and no upstream had any work, is free while there are more answers below status 500 than free retries in the window of 4 s. Without answers it is charged to the budget as before. Retries after unknown outcomes, full queues, shed work, a passed start-by or a fence stay within the budget. No call has more than three attempts, as before. 1011, 1012 and 1021 stay within the budget.

Ruled out: free retries bounded by the attempts of each call alone (three attempts a call when everything is down); a fixed reserve for each entry (too small for a busy route, multiplied by the entries on a quiet one).

Conclusion: calls that other endpoints can serve are no longer refused.

`measure retries` prints tables (c) and (d) alone. The upstream stand-in can be killed.

--- a/crates/node/src/attempts.rs
+++ b/crates/node/src/attempts.rs
@@ -15,7 +15,7 @@
 use peer::{CallAnswer, CallError, CallReply, Target};
 use routing::{
     AttemptEnd, Balancer, Body, CallAttempts, CallKind, Candidate, Candidates, Choice, Evidence,
-    FenceResult, Idempotence, Next, PATIENCE, Stage, WhenBusy, refusal_evidence,
+    FenceResult, Idempotence, Next, PATIENCE, RetryBudget, Stage, WhenBusy, refusal_evidence,
 };
 use tokio::time::{Instant, timeout, timeout_at};
 use wire::{BodyPart, Call, Head, MAX_CHUNK_BYTES};
@@ -148,7 +148,10 @@
                     self.record(&choice, &entry, format!("answered {}", answer.status));
                     let end = match answer.status {
                         500.. => PathEnd::Failed,
-                        _ => PathEnd::Answered(now.since(started)),
+                        _ => {
+                            self.with_budget(|budget| budget.count_answer(now));
+                            PathEnd::Answered(now.since(started))
+                        }
                     };
                     in_flight.ended(end);
                     return made.result.map_err(|_| ResultCode::LinkLost);
@@ -186,9 +189,13 @@
     fn next(&self, attempts: &mut CallAttempts, end: AttemptEnd) -> Next {
         let body = self.replayable();
         let now = self.node.now();
+        self.with_budget(|budget| attempts.next(end, body, budget, now))
+    }
+
+    fn with_budget<T>(&self, decide: impl FnOnce(&mut RetryBudget) -> T) -> T {
         let share = self.route.policy().retry_budget;
-        let decide = |budget: &mut _| attempts.next(end, body, budget, now);
-        self.node.budgets.with(self.route.name(), share, self.node.peers.count() + 1, decide)
+        let entries = self.node.peers.count() + 1;
+        self.node.budgets.with(self.route.name(), share, entries, decide)
     }
 
     /// Chooses an endpoint and how long the attempt may wait there.
--- a/crates/routing/src/budget.rs
+++ b/crates/routing/src/budget.rs
@@ -29,12 +29,19 @@
     second: u64,
     calls: u64,
     retries: u64,
+    answers: u64,
+    free_retries: u64,
 }
 
 /// Retries that a route may make at one entry: a share of its calls, or a part of the least number
 /// that the fleet allows. With the whole least number at each entry, a fleet of many entries would
 /// multiply the calls to a failing service.
 ///
+/// Retries that follow an attempt which cost no upstream any work have a bound of their own: the
+/// answers of the same window. Where other endpoints answer, they are not a burden, and the share
+/// would refuse calls that these endpoints can serve. Where nothing answers, only the share and
+/// the least number are left.
+///
 /// ```
 /// use model::{Percent, Time};
 /// use routing::{Grant, RetryBudget};
@@ -83,6 +90,35 @@
         self.current(now).calls += 1;
     }
 
+    /// Counts an answer that is not a failure of the upstream.
+    pub fn count_answer(&mut self, now: Time) {
+        self.current(now).answers += 1;
+    }
+
+    /// Asks for one retry after an attempt that did not run and cost the upstream nothing. It is
+    /// free while there are more answers than free retries, and is charged to the share otherwise.
+    ///
+    /// ```
+    /// use model::{Percent, Time};
+    /// use routing::{Grant, RetryBudget};
+    ///
+    /// let mut budget = RetryBudget::new(Percent::new(0).unwrap(), 1);
+    /// (0..50).for_each(|_| budget.count_answer(Time::ZERO));
+    /// let mut grants = (0..60).map(|_| budget.request_free_retry(Time::ZERO));
+    /// // 50 for the answers and the least number of 3.
+    /// assert_eq!(grants.by_ref().filter(|grant| *grant == Grant::Granted).count(), 53);
+    /// ```
+    pub fn request_free_retry(&mut self, now: Time) -> Grant {
+        self.current(now);
+        let answers: u64 = self.seconds.iter().map(|second| second.answers).sum();
+        let free_retries: u64 = self.seconds.iter().map(|second| second.free_retries).sum();
+        if free_retries >= answers {
+            return self.request_retry(now);
+        }
+        self.current(now).free_retries += 1;
+        Grant::Granted
+    }
+
     /// Asks for one retry and charges it if it is granted.
     pub fn request_retry(&mut self, now: Time) -> Grant {
         self.current(now);
@@ -114,7 +150,13 @@
             self.seconds.pop_front();
         }
         if self.seconds.back().is_none_or(|last| last.second < second) {
-            self.seconds.push_back(Second { second, calls: 0, retries: 0 });
+            self.seconds.push_back(Second {
+                second,
+                calls: 0,
+                retries: 0,
+                answers: 0,
+                free_retries: 0,
+            });
         }
         let last = self.seconds.len() - 1;
         &mut self.seconds[last]
--- a/crates/routing/src/retry.rs
+++ b/crates/routing/src/retry.rs
@@ -224,10 +224,18 @@
         budget: &mut RetryBudget,
         now: Time,
     ) -> Next {
-        if is_worth_retrying(code) && self.may_retry(body, budget, now) {
-            return Next::RetryElsewhere;
+        // The budget is asked last, so that only retries that are made are charged.
+        if !is_worth_retrying(code) || !self.has_attempt_left(body, now) {
+            return self.settle(code);
+        }
+        let grant = match costs_no_upstream(code) {
+            true => budget.request_free_retry(now),
+            false => budget.request_retry(now),
+        };
+        match grant {
+            Grant::Granted => Next::RetryElsewhere,
+            Grant::Exhausted => self.settle(code),
         }
-        self.settle(code)
     }
 
     fn after_unknown(
@@ -248,17 +256,13 @@
         }
         self.ended += 1;
         self.may_have_run.get_or_insert(code);
-        if self.may_retry(body, budget, now) {
+        // The budget is asked last, so that only retries that are made are charged.
+        if self.has_attempt_left(body, now) && budget.request_retry(now) == Grant::Granted {
             return Next::RetryElsewhere;
         }
         self.settle(code)
     }
 
-    /// The budget is asked last, so that only retries that are made are charged.
-    fn may_retry(&self, body: Body, budget: &mut RetryBudget, now: Time) -> bool {
-        self.has_attempt_left(body, now) && budget.request_retry(now) == Grant::Granted
-    }
-
     fn has_attempt_left(&self, body: Body, now: Time) -> bool {
         self.ended < MAX_ATTEMPTS && now < self.kind.deadline && body == Body::Replayable
     }
@@ -304,3 +308,17 @@
             | ResultCode::LinkUnavailable
     )
 }
+
+/// Tells whether an attempt that was refused with this code has certainly put no load on an
+/// upstream, because the endpoint or its node can't be reached or takes no calls. Refusals for lack
+/// of slots or time are not among them, since a retry would move the overload to other endpoints.
+fn costs_no_upstream(code: ResultCode) -> bool {
+    matches!(
+        code,
+        ResultCode::ConnectFailed
+            | ResultCode::EndpointLeaving
+            | ResultCode::EndpointUnknown
+            | ResultCode::Stopping
+            | ResultCode::LinkUnavailable
+    )
+}
--- a/crates/routing/tests/calls.rs
+++ b/crates/routing/tests/calls.rs
@@ -110,6 +110,34 @@
     check(Idempotence::NonIdempotent, Body::Replayable, &[busy, busy, busy, busy, busy, endless]);
 }
 
+/// Guards against calls that are refused while other endpoints answer, because attempts that no
+/// upstream has seen use up the budget, and against free retries after attempts that were a load.
+#[test]
+fn retries_of_attempts_without_cost_are_bounded_by_the_answers() {
+    use ResultCode::*;
+    let granted = |code, answers| {
+        let mut budget = RetryBudget::new(Percent::new(0).unwrap(), 1);
+        (0..answers).for_each(|_| budget.count_answer(ms(0)));
+        let kind = CallKind { idempotence: Idempotence::Idempotent, deadline: ms(1000) };
+        let end = AttemptEnd::Refused { code, evidence: Evidence::NotRun };
+        let mut next = || CallAttempts::new(kind).next(end, Body::Replayable, &mut budget, ms(1));
+        (0..100).filter(|_| next() == Next::RetryElsewhere).count()
+    };
+    // The least number of 3 is left to both kinds of retries.
+    for code in [ConnectFailed, EndpointLeaving, EndpointUnknown, Stopping, LinkUnavailable] {
+        assert_eq!([granted(code, 0), granted(code, 40)], [3, 43], "{code:?}");
+    }
+    for code in [QueueFull, UpstreamShed, DeadlineBeforeStart, TooManyConnections, AttemptFenced] {
+        assert_eq!([granted(code, 0), granted(code, 40)], [3, 3], "{code:?}");
+    }
+    // An answer counts for 4 s.
+    let mut budget = RetryBudget::new(Percent::new(0).unwrap(), 1);
+    (0..40).for_each(|_| budget.count_answer(ms(0)));
+    let mut count =
+        |now| (0..100).filter(|_| budget.request_free_retry(ms(now)) == Grant::Granted).count();
+    assert_eq!([count(3999), count(4000), count(8000)], [43, 0, 3]);
+}
+
 /// Guards against evidence from a process that never had the attempt.
 #[test]
 fn only_the_same_process_gives_evidence() {
@@ -199,6 +227,66 @@
     }
 }
 
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 1000,
+        rng_seed: RngSeed::Fixed(22),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against attempts without bound, whatever ends they have: a call has at most three
+    /// that are not busy refusals, and all retries of a route together stay within a fifth of the
+    /// calls, the least number of 3 a second, and one for each answer.
+    #[test]
+    fn attempts_are_bounded(
+        calls in prop::collection::vec(
+            (0..100u64, prop::collection::vec(0..6usize, 1..12)), 1..300),
+        answering_until in 0..300usize,
+    ) {
+        let mut budget = RetryBudget::new(Percent::new(20).unwrap(), 1);
+        let (mut now, mut answers, mut retries) = (0, 0, 0);
+        let mut retries_of_work = 0;
+        let refused = |code| AttemptEnd::Refused { code, evidence: Evidence::NotRun };
+        let count = calls.len() as u64;
+        for (number, (pause, ends)) in calls.into_iter().enumerate() {
+            now += pause;
+            budget.count_call(ms(now));
+            let kind =
+                CallKind { idempotence: Idempotence::Idempotent, deadline: ms(now + 1000) };
+            let (mut attempts, mut made) = (CallAttempts::new(kind), 1);
+            for end in ends {
+                if end == 0 && number < answering_until {
+                    budget.count_answer(ms(now));
+                    answers += 1;
+                    break;
+                }
+                let end = match end {
+                    0 | 1 => refused(ResultCode::ConnectFailed),
+                    2 => refused(ResultCode::EndpointUnknown),
+                    3 => refused(ResultCode::UpstreamShed),
+                    4 => UNKNOWN,
+                    _ => AttemptEnd::Busy,
+                };
+                let next = attempts.next(end, Body::Replayable, &mut budget, ms(now));
+                if next != Next::RetryElsewhere {
+                    break;
+                }
+                let is_of_work = end == UNKNOWN || end == refused(ResultCode::UpstreamShed);
+                made += u64::from(end != AttemptEnd::Busy);
+                retries += u64::from(end != AttemptEnd::Busy);
+                retries_of_work += u64::from(is_of_work);
+            }
+            prop_assert!(made <= 3, "{made} attempts of one call");
+            let least = 3 + 3 * now / 1000;
+            let share = (number as u64 + 1) / 5 + least;
+            prop_assert!(retries_of_work <= share, "{retries_of_work} retries of work");
+            prop_assert!(retries <= share + answers, "{retries} retries, {answers} answers");
+        }
+        prop_assert!(retries <= 2 * count);
+    }
+}
+
 /// Guards against sending a call that nobody waits for any more.
 #[test]
 fn a_passed_deadline_is_refused() {
--- a/crates/standins/src/upstream.rs
+++ b/crates/standins/src/upstream.rs
@@ -25,6 +25,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
+use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::sleep;
 
 /// Time between two announcements.
@@ -91,6 +92,7 @@
     /// Where it listens.
     pub addr: SocketAddr,
     state: Arc<State>,
+    tasks: Vec<AbortHandle>,
 }
 
 struct State {
@@ -116,11 +118,18 @@
             counts: Mutex::default(),
             slots: Semaphore::new(endpoint.slots.0 as usize),
         });
-        tokio::spawn(serve(listener, Arc::clone(&state)));
+        let mut tasks = vec![tokio::spawn(serve(listener, Arc::clone(&state))).abort_handle()];
         if let Some(node) = announce_to {
-            tokio::spawn(announce(node, endpoint, Arc::clone(&state)));
+            let announcing = tokio::spawn(announce(node, endpoint, Arc::clone(&state)));
+            tasks.push(announcing.abort_handle());
         }
-        Ok(UpstreamStandin { addr, state })
+        Ok(UpstreamStandin { addr, state, tasks })
+    }
+
+    /// Ends it as the kill of its process would: the listener and all connections are closed, and
+    /// announcements stop. The counts can still be read.
+    pub fn kill(&self) {
+        self.tasks.iter().for_each(AbortHandle::abort);
     }
 
     /// Changes the behaviour.
@@ -144,14 +153,17 @@
 }
 
 async fn serve(listener: TcpListener, state: Arc<State>) {
+    // Dropping the set ends all connections.
+    let mut connections = JoinSet::new();
     while let Ok((stream, _)) = listener.accept().await {
+        while connections.try_join_next().is_some() {}
         let _ = stream.set_nodelay(true);
         let state = Arc::clone(&state);
         let service = service_fn(move |req| answer(req, Arc::clone(&state)));
         let conn = http1::Builder::new()
             .timer(TokioTimer::new())
             .serve_connection(TokioIo::new(stream), service);
-        tokio::spawn(conn);
+        connections.spawn(conn);
     }
 }
 
--- a/crates/zinniacross/tests/calls.rs
+++ b/crates/zinniacross/tests/calls.rs
@@ -125,6 +125,28 @@
     });
 }
 
+/// Guards against idempotent calls that are refused although other upstreams would have served them:
+/// the retry budget must not be used up by attempts for which no upstream did any work.
+#[test]
+fn idempotent_calls_are_served_elsewhere_when_an_upstream_is_killed() {
+    let behaviour = Behaviour { service_ms: 20, ..Behaviour::default() };
+    let fleet = fleet(4, &behaviour, 3000);
+    let entries = [0, 1].repeat(10);
+    let mut killed = Instant::now();
+    let done = fleet.calls_while(&entries, &plan("GET", 5), || {
+        thread::sleep(seconds(2));
+        fleet.upstreams[2].kill();
+        killed = Instant::now();
+        thread::sleep(seconds(5));
+    });
+    let mut codes: HashMap<u16, usize> = HashMap::new();
+    done.iter().for_each(|call| *codes.entry(call.code()).or_default() += 1);
+    let after = done.iter().filter(|call| call.started > killed).count();
+    println!("{} calls, {after} after the kill, by code: {codes:?}", done.len());
+    let refused = done.iter().filter(|call| (1000..2000).contains(&call.code())).count();
+    assert_eq!(refused, 0, "{refused} of {} calls refused as not run", done.len());
+}
+
 /// Guards against a cut answer that looks complete, and against large bodies that are cut.
 #[test]
 fn cut_answers_are_seen_as_cut_and_large_bodies_arrive_whole() {
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -78,7 +78,7 @@
         .help("Compare HTTP servers under half-open connections");
     let test = pure(Command::Test).to_options().command("test").help("Run every test");
     let part = positional::<measure::Part>("PART")
-        .help("all, limits, health or calls; all by default")
+        .help("all, limits, health, calls or retries (a part of calls); all by default")
         .fallback(measure::Part::All);
     let measure = part
         .map(Command::Measure)
--- a/xtask/src/measure/calls.rs
+++ b/xtask/src/measure/calls.rs
@@ -85,7 +85,6 @@
 pub fn run() -> Result<()> {
     added_waiting();
     worst_served();
-    retries();
     Ok(())
 }
 
@@ -690,7 +689,8 @@
     AnyError,
 }
 
-fn retries() {
+/// Prints the table of the retries.
+pub fn retries() {
     println!(
         "\ncalls (c): a whole service fails for a minute; half of the attempts fail to connect,"
     );
--- a/xtask/src/measure/mod.rs
+++ b/xtask/src/measure/mod.rs
@@ -3,6 +3,7 @@
 mod calls;
 mod health;
 mod limits;
+mod outages;
 
 use std::str::FromStr;
 
@@ -15,6 +16,8 @@
     Limits,
     Health,
     Calls,
+    /// The tables of the retries alone, which take a second.
+    Retries,
 }
 
 impl FromStr for Part {
@@ -26,7 +29,8 @@
             "limits" => Ok(Part::Limits),
             "health" => Ok(Part::Health),
             "calls" => Ok(Part::Calls),
-            _ => bail!("unknown part {part:?}; known are all, limits, health and calls"),
+            "retries" => Ok(Part::Retries),
+            _ => bail!("unknown part {part:?}; known are all, limits, health, calls and retries"),
         }
     }
 }
@@ -42,5 +46,9 @@
     if matches!(part, Part::All | Part::Calls) {
         calls::run()?;
     }
+    if matches!(part, Part::All | Part::Calls | Part::Retries) {
+        calls::retries();
+        outages::run();
+    }
     Ok(())
 }
