Withdraw an endpoint at the first refused connection

Cause: a guard that met a refused connection went on to offer the endpoint until its announcements had been missing for 3 s. All entries sent calls to it in the meantime, and each such call cost an attempt and a round trip.

Now a connection that the kernel refuses (ECONNREFUSED) makes the endpoint gone: the guard refuses its queue as not run, and the table without the endpoint is pushed. The next announcement brings it back. A timeout while connecting does not withdraw it, nor does a refusal at an address other than the announced one, which may be that of the process before a restart. A stopping node withdraws nothing, since its endpoints are leaving already.

The guard is told first and the announcement is removed last: in the other order an announcement between the two steps would leave an endpoint that is announced and unknown to the guard for good.

The test refused_connection_is_not_run expects the new ConnectRefused instead of ConnectFailed, which is the narrower statement.

Ruled out: keeping a withdrawn endpoint away for some time although it announces itself, since that would delay an upstream that was restarted. An upstream that announces itself and refuses connections therefore comes back with each announcement; this was not measured.

--- a/crates/membership/src/announcements.rs
+++ b/crates/membership/src/announcements.rs
@@ -83,6 +83,16 @@
         gone
     }
 
+    /// Removes an endpoint that is known to be gone before its announcement is missing. The next
+    /// announcement brings it back.
+    pub fn withdraw(&mut self, name: &EndpointName) -> Announced {
+        if self.endpoints.remove(name).is_none() {
+            return Announced::Unchanged;
+        }
+        self.version += 1;
+        Announced::Changed
+    }
+
     /// When [`Announcements::expire`] has something to do, if nothing is announced before.
     pub fn next_expiry(&self) -> Option<Time> {
         self.endpoints.values().map(|(_, expires)| *expires).min()
--- a/crates/membership/tests/directory.rs
+++ b/crates/membership/tests/directory.rs
@@ -128,3 +128,18 @@
     own.announce(ready("c", "gold"), at(3600));
     assert!(own.table().iter().all(|endpoint| endpoint.state == EndpointState::Leaving));
 }
+
+/// Guards against an endpoint that stays in the table after its upstream has refused a connection,
+/// and against one that does not come back with its next announcement.
+#[test]
+fn a_withdrawn_endpoint_comes_back_with_its_next_announcement() {
+    let (name, now) = ("a".parse().unwrap(), Time::ZERO);
+    let mut own = Announcements::new();
+    own.announce(ready("a", "gold"), now);
+    assert_eq!(own.withdraw(&name), Announced::Changed);
+    assert_eq!((own.version(), own.table().len(), own.next_expiry()), (2, 0, None));
+    assert_eq!(own.withdraw(&name), Announced::Unchanged);
+    assert_eq!(own.version(), 2);
+    assert_eq!(own.announce(ready("a", "gold"), now), Announced::Changed);
+    assert_eq!((own.version(), own.table().len()), (3, 1));
+}
--- a/crates/node/src/announce.rs
+++ b/crates/node/src/announce.rs
@@ -1,10 +1,11 @@
 //! Announcements of the upstreams of this instance.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use log::{info, warn};
 use membership::Announced;
-use model::Endpoint;
+use model::{Endpoint, EndpointName};
 use upstream::AnnounceHandler;
 
 use crate::peers::push_table;
@@ -52,6 +53,28 @@
     publish(node);
 }
 
+/// Takes an endpoint out of use whose upstream has refused a connection, until it announces itself
+/// again. Calls in its queue are refused as not run.
+pub(crate) fn withdraw(node: &Arc<Node>, endpoint: &EndpointName, addr: SocketAddr) {
+    // The peers of a stopping node know already that its endpoints take no calls.
+    if node.phase() != Phase::Serving {
+        return;
+    }
+    // A restarted upstream may have announced another address since the call was sent.
+    let is_current =
+        lock(&node.announcements).endpoint(endpoint).is_some_and(|known| known.addr == addr);
+    if !is_current {
+        return;
+    }
+    // The announcement goes last: the next one is then a change and brings the endpoint back to the
+    // guard, also if it arrives between these two steps.
+    node.guard.gone(node, endpoint);
+    if lock(&node.announcements).withdraw(endpoint) == Announced::Changed {
+        warn!("endpoint {endpoint} is gone: it refused a connection at {addr}");
+        publish(node);
+    }
+}
+
 /// Brings the own table into the own directory and to the peers.
 pub(crate) fn publish(node: &Arc<Node>) {
     let announcements = lock(&node.announcements);
--- a/crates/node/src/guard.rs
+++ b/crates/node/src/guard.rs
@@ -337,6 +337,11 @@
     };
     let answer = match timeout_at(deadline, node.upstreams.send(addr, req)).await {
         Ok(Ok(answer)) => answer,
+        Ok(Err(UpstreamError::ConnectRefused)) => {
+            record(CallResult::ConnectFailure);
+            crate::announce::withdraw(node, &call.endpoint, addr);
+            return refused(ResultCode::ConnectFailed);
+        }
         Ok(Err(UpstreamError::ConnectFailed)) => {
             record(CallResult::ConnectFailure);
             return refused(ResultCode::ConnectFailed);
--- a/crates/upstream/src/client.rs
+++ b/crates/upstream/src/client.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::fmt;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -27,7 +28,9 @@
 /// A call ended without an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum UpstreamError {
-    /// No connection could be made, so the call did not run.
+    /// Nothing listens at the address, so the call did not run and neither would any other.
+    ConnectRefused,
+    /// No connection could be made for another reason, so the call did not run.
     ConnectFailed,
     /// The connection was lost after the request was sent, so the outcome is unknown.
     Lost,
@@ -36,6 +39,7 @@
 impl fmt::Display for UpstreamError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
+            UpstreamError::ConnectRefused => "the upstream refused the connection",
             UpstreamError::ConnectFailed => "connecting to the upstream failed",
             UpstreamError::Lost => "the connection to the upstream was lost",
         })
@@ -146,7 +150,13 @@
 
 async fn connect(addr: SocketAddr) -> Result<SendRequest<Payload>, UpstreamError> {
     let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await;
-    let Ok(Ok(stream)) = connected else { return Err(UpstreamError::ConnectFailed) };
+    let stream = match connected {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(err)) if err.kind() == ErrorKind::ConnectionRefused => {
+            return Err(UpstreamError::ConnectRefused);
+        }
+        Ok(Err(_)) | Err(_) => return Err(UpstreamError::ConnectFailed),
+    };
     let _ = stream.set_nodelay(true);
     let handshake = http1::handshake(TokioIo::new(stream)).await;
     let (sender, conn) = handshake.map_err(|_| UpstreamError::ConnectFailed)?;
--- a/crates/upstream/tests/client.rs
+++ b/crates/upstream/tests/client.rs
@@ -128,7 +128,7 @@
     let addr = listener.local_addr().unwrap();
     drop(listener);
     let refused = client().send(addr, request()).await;
-    assert_eq!(refused.err(), Some(UpstreamError::ConnectFailed));
+    assert_eq!(refused.err(), Some(UpstreamError::ConnectRefused));
 }
 
 /// Guards against a call that is reported as not run, or sent again, after it was written.
--- a/crates/zinniacross/tests/calls.rs
+++ b/crates/zinniacross/tests/calls.rs
@@ -147,6 +147,31 @@
     assert_eq!(refused, 0, "{refused} of {} calls refused as not run", done.len());
 }
 
+/// Guards against an endpoint that stays in use until its announcements have been missing for 3 s,
+/// although its guard knows that nothing listens there, and against one that never comes back.
+#[test]
+fn upstream_that_refuses_connections_is_out_of_use_until_it_announces_itself() {
+    let behaviour = Behaviour { service_ms: 20, ..Behaviour::default() };
+    let fleet = fleet(4, &behaviour, 3000);
+    let entries = [0, 1].repeat(10);
+    let refused =
+        || -> usize { (0..3).map(|node| fleet.log(node).matches("refused 1017").count()).sum() };
+    fleet.calls_while(&entries, &plan("GET", 5), || {
+        thread::sleep(seconds(2));
+        fleet.upstreams[2].kill();
+        thread::sleep(millis(500));
+        let first = refused();
+        thread::sleep(millis(1300));
+        let later = refused() - first;
+        println!("{first} refused connections in the first 0.5 s, {later} in the next 1.3 s");
+        assert!(first > 0);
+        assert_eq!(later, 0);
+        let restarted = fleet.start_upstream(2, 2, "orders", 4, behaviour.clone());
+        let is_back = wait_until(seconds(3), || restarted.runs() > 0);
+        assert!(is_back, "the restarted upstream gets no calls");
+    });
+}
+
 /// Guards against a cut answer that looks complete, and against large bodies that are cut.
 #[test]
 fn cut_answers_are_seen_as_cut_and_large_bodies_arrive_whole() {
--- a/crates/zinniacross/tests/common/mod.rs
+++ b/crates/zinniacross/tests/common/mod.rs
@@ -184,8 +184,23 @@
         slots: u32,
         behaviour: Behaviour,
     ) -> usize {
+        let index = self.upstreams.len();
+        let started = self.start_upstream(index, node, service, slots, behaviour);
+        self.upstreams.push(started);
+        index
+    }
+
+    /// Starts another process of an upstream, under the same name and at another address.
+    pub fn start_upstream(
+        &self,
+        index: usize,
+        node: usize,
+        service: &str,
+        slots: u32,
+        behaviour: Behaviour,
+    ) -> UpstreamStandin {
         let endpoint = Endpoint {
-            name: format!("{service}-{}", self.upstreams.len()).parse().unwrap(),
+            name: format!("{service}-{index}").parse().unwrap(),
             service: service.parse().unwrap(),
             labels: Default::default(),
             addr: LOCAL,
@@ -195,8 +210,7 @@
         };
         let announce = Some(self.nodes[node].announce);
         let started = UpstreamStandin::start(LOCAL, endpoint, announce, behaviour);
-        self.upstreams.push(self.rt.block_on(started).unwrap());
-        self.upstreams.len() - 1
+        self.rt.block_on(started).unwrap()
     }
 
     /// Runs of all upstreams together.
