Serve the platform's stand-in with hyper, so that no connection waits for another

Now and then a fleet of a process test took about 20 s longer to start. The cause is the stand-in of the platform. The HTTP server below rouille (tiny_http 0.12) gives each connection to a pool of threads. It queues a new connection whenever a thread counts as idle, but a thread counts as idle until it has woken up. Two connections that arrive in that time share one thread, and the second waits until the first is closed. Nodes keep their connections open, so that the second one waits until its client gives up: 2 s for the node record, 20 s for a list.

Ruled out: cut proxies (no cut was set, and the new test fails without them), the watches (both nodes were in their first list), the repetition of claims (none was made before 20.8 s).

The new test opens 12 connections at once, 50 times, and failed in the first second before: one connection had no answer within 2 s. It passes with hyper.

The tests of operator included the stand-in by its path; they now depend on the crate, since the stand-in needs hyper. The operator port still uses rouille and is open to the same delay.

--- a/crates/operator/tests/common/mod.rs
+++ b/crates/operator/tests/common/mod.rs
@@ -17,9 +17,7 @@
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::registry::Registry;
 
-/// The stand-in is included by its path, since this crate does not depend on `standins`.
-#[path = "../../../standins/src/platform.rs"]
-pub mod standin;
+pub use standins::platform as standin;
 
 use standin::{PlatformConfig, PlatformStandin};
 
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -15,28 +15,38 @@
 //! `{"revision","error","current","detail"}`. `revision` is always the global revision.
 
 use std::collections::{BTreeMap, VecDeque};
-use std::io::Read;
+use std::convert::Infallible;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
-use rouille::{Request, Response, Server};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::http::request::Parts;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
+use tokio::net::TcpListener;
+use tokio::runtime::{Builder, Runtime};
+use tokio::sync::Notify;
+use tokio::task::spawn_blocking;
 
 /// Longest accepted body.
-const MAX_BODY_BYTES: u64 = 1 << 20;
+const MAX_BODY_BYTES: usize = 1 << 20;
 
 /// Longest wait of a watch.
 const MAX_WAIT: Duration = Duration::from_secs(60);
 
-/// Time between two looks at the stop flag; also the gap in the traffic that a stop needs.
-const POLL: Duration = Duration::from_millis(5);
-
-/// Longest time that a stop waits for the server's thread.
-const STOP_WAIT: Duration = Duration::from_secs(2);
+/// Calls that are served at the same time. Each has a thread, a waiting watch too; a further call
+/// waits until one of them ends.
+const MAX_CALLS: usize = 2048;
 
 /// Rates and sizes of the stand-in.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -92,16 +102,20 @@
 impl PlatformStandin {
     /// Starts the stand-in on `listen`, for example `127.0.0.1:0`.
     pub fn start(listen: SocketAddr, cfg: PlatformConfig) -> Result<PlatformStandin, String> {
+        let cannot_listen = |err| format!("can't listen on {listen}: {err}");
+        let (runtime, listener) = open(listen).map_err(cannot_listen)?;
+        let addr = listener.local_addr().map_err(cannot_listen)?;
         let shared = Arc::new(Shared::new(cfg));
-        let handler = Arc::clone(&shared);
-        let server = Server::new(listen, move |req| handler.serve(req))
-            .map_err(|err| format!("can't listen on {listen}: {err}"))?;
-        let addr = server.server_addr();
-        let stopper = Arc::clone(&shared);
+        let served = Arc::clone(&shared);
         let thread = thread::spawn(move || {
-            while !stopper.stopping.load(Ordering::Relaxed) {
-                server.poll_timeout(POLL);
-            }
+            runtime.block_on(async {
+                tokio::select! {
+                    () = accept(listener, &served) => {}
+                    () = served.stop.notified() => {}
+                }
+            });
+            // Delayed calls would hold up the stop.
+            runtime.shutdown_background();
         });
         Ok(PlatformStandin { addr, shared, thread: Some(thread) })
     }
@@ -138,10 +152,9 @@
     pub fn stop(&mut self) {
         self.shared.stopping.store(true, Ordering::Relaxed);
         self.shared.changed.notify_all();
-        let Some(thread) = self.thread.take() else { return };
-        let deadline = Instant::now() + STOP_WAIT;
-        while !thread.is_finished() && Instant::now() < deadline {
-            thread::sleep(Duration::from_millis(1));
+        self.shared.stop.notify_one();
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
         }
     }
 }
@@ -152,11 +165,91 @@
     }
 }
 
+fn open(listen: SocketAddr) -> io::Result<(Runtime, TcpListener)> {
+    let runtime = Builder::new_multi_thread()
+        .worker_threads(1)
+        .max_blocking_threads(MAX_CALLS)
+        .enable_all()
+        .build()?;
+    let listener = std::net::TcpListener::bind(listen)?;
+    listener.set_nonblocking(true)?;
+    let listener = {
+        let _context = runtime.enter();
+        TcpListener::from_std(listener)?
+    };
+    Ok((runtime, listener))
+}
+
+/// Serves every connection at once. `rouille` may leave a new connection without a thread until
+/// another connection is closed, and the HTTP client of a node keeps its connections open.
+async fn accept(listener: TcpListener, shared: &Arc<Shared>) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let _ = stream.set_nodelay(true);
+        let shared = Arc::clone(shared);
+        let service = service_fn(move |req| answer(req, Arc::clone(&shared)));
+        let conn = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .serve_connection(TokioIo::new(stream), service);
+        tokio::spawn(conn);
+    }
+}
+
+type Answer = Response<Full<Bytes>>;
+
+async fn answer(req: Request<Incoming>, shared: Arc<Shared>) -> Result<Answer, Infallible> {
+    let (head, body) = req.into_parts();
+    let body = Limited::new(body, MAX_BODY_BYTES).collect().await;
+    let req = WholeRequest { head, body: body.ok().map(|body| body.to_bytes()) };
+    let served = spawn_blocking(move || shared.serve(&req)).await;
+    Ok(served.unwrap_or_else(|err| text(500, err.to_string())))
+}
+
+/// A request after its body has been read.
+struct WholeRequest {
+    head: Parts,
+    /// `None` if it is too large or was cut.
+    body: Option<Bytes>,
+}
+
+impl WholeRequest {
+    fn method(&self) -> &str {
+        self.head.method.as_str()
+    }
+
+    fn path(&self) -> &str {
+        self.head.uri.path()
+    }
+
+    fn header(&self, name: &str) -> Option<&str> {
+        self.head.headers.get(name)?.to_str().ok()
+    }
+
+    fn param(&self, name: &str) -> Option<&str> {
+        let params = self.head.uri.query()?.split('&');
+        params.filter_map(|param| param.split_once('=')).find(|(n, _)| *n == name).map(|(_, v)| v)
+    }
+}
+
+fn json_answer(status: u16, body: &impl Serialize) -> Answer {
+    let mut answer = text(status, serde_json::to_vec(body).unwrap_or_default());
+    let json = hyper::http::HeaderValue::from_static("application/json");
+    answer.headers_mut().insert(hyper::http::header::CONTENT_TYPE, json);
+    answer
+}
+
+fn text(status: u16, body: impl Into<Bytes>) -> Answer {
+    let mut answer = Response::new(Full::new(body.into()));
+    *answer.status_mut() = StatusCode::from_u16(status).expect("the status is valid");
+    answer
+}
+
 struct Shared {
     cfg: PlatformConfig,
     state: Mutex<State>,
     changed: Condvar,
     stopping: AtomicBool,
+    /// Ends the accept loop.
+    stop: Notify,
 }
 
 struct State {
@@ -244,17 +337,17 @@
             write_tokens: Bucket::new(cfg.writes_per_second),
         };
         let (changed, stopping) = (Condvar::new(), AtomicBool::new(false));
-        Shared { cfg, state: Mutex::new(state), changed, stopping }
+        Shared { cfg, state: Mutex::new(state), changed, stopping, stop: Notify::new() }
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn serve(&self, req: &Request) -> Response {
-        match (req.method(), req.raw_url()) {
+    fn serve(&self, req: &WholeRequest) -> Answer {
+        match (req.method(), req.path()) {
             ("POST", "/faults") => return self.switch_faults(req),
-            ("GET", "/counts") => return Response::json(&self.lock().counts),
+            ("GET", "/counts") => return json_answer(200, &self.lock().counts),
             _ => {}
         }
         let Some(call) = parse_call(req) else {
@@ -275,11 +368,11 @@
         }
     }
 
-    fn switch_faults(&self, req: &Request) -> Response {
-        let Some(body) = read_body(req) else {
+    fn switch_faults(&self, req: &WholeRequest) -> Answer {
+        let Some(body) = &req.body else {
             return self.lock().refuse(413, "invalid", "the body is too large");
         };
-        let change: FaultsBody = match serde_json::from_slice(&body) {
+        let change: FaultsBody = match serde_json::from_slice(body) {
             Ok(change) => change,
             Err(err) => return self.lock().refuse(400, "invalid", &err.to_string()),
         };
@@ -288,12 +381,12 @@
         faults.down = change.down.unwrap_or(faults.down);
         faults.slow_ms = change.slow_ms.unwrap_or(faults.slow_ms);
         faults.lose_answers = change.lose_answers.unwrap_or(faults.lose_answers);
-        let answer = Response::json(faults);
+        let answer = json_answer(200, faults);
         self.changed.notify_all();
         answer
     }
 
-    fn watch(&self, since: u64, wait: Duration) -> Response {
+    fn watch(&self, since: u64, wait: Duration) -> Answer {
         let deadline = Instant::now() + wait.min(MAX_WAIT);
         let mut state = self.lock();
         loop {
@@ -313,11 +406,11 @@
         }
     }
 
-    fn write(&self, req: &Request, id: ObjectId) -> Response {
-        let Some(body) = read_body(req) else {
+    fn write(&self, req: &WholeRequest, id: ObjectId) -> Answer {
+        let Some(body) = &req.body else {
             return self.lock().refuse(413, "invalid", "the body is too large");
         };
-        let parsed: Result<WriteBody, _> = serde_json::from_slice(&body);
+        let parsed: Result<WriteBody, _> = serde_json::from_slice(body);
         let (body, condition) = match (parsed, parse_condition(req)) {
             (Ok(body), Some(condition)) => (body, condition),
             (Err(err), _) => return self.lock().refuse(400, "invalid", &err.to_string()),
@@ -329,16 +422,16 @@
         let mut state = self.lock();
         let answer = state.write(id, condition, body, self.cfg.tombstones);
         self.changed.notify_all();
-        if answer.status_code == 200 && state.faults.lose_answers > 0 {
+        if answer.status() == StatusCode::OK && state.faults.lose_answers > 0 {
             state.faults.lose_answers -= 1;
-            return Response::text("answer lost").with_status_code(504);
+            return text(504, "answer lost");
         }
         answer
     }
 }
 
 impl State {
-    fn admit(&mut self, call: &Call) -> Option<Response> {
+    fn admit(&mut self, call: &Call) -> Option<Answer> {
         let (count, tokens) = match call {
             Call::List => (&mut self.counts.lists, &mut self.read_tokens),
             Call::Watch { .. } => (&mut self.counts.watches, &mut self.read_tokens),
@@ -356,31 +449,31 @@
         None
     }
 
-    fn refuse(&self, status: u16, error: &str, detail: &str) -> Response {
+    fn refuse(&self, status: u16, error: &str, detail: &str) -> Answer {
         let body = json!({"revision": self.revision, "error": error, "detail": detail});
-        Response::json(&body).with_status_code(status)
+        json_answer(status, &body)
     }
 
-    fn list(&self) -> Response {
+    fn list(&self) -> Answer {
         let live = self.objects.iter().filter(|(_, stored)| stored.spec.is_some());
         let objects: Vec<Value> = live.map(|(id, stored)| document(id, stored)).collect();
-        Response::json(&json!({"revision": self.revision, "objects": objects}))
+        json_answer(200, &json!({"revision": self.revision, "objects": objects}))
     }
 
-    fn changes(&self, since: u64) -> Response {
+    fn changes(&self, since: u64) -> Answer {
         let mut changed: Vec<_> =
             self.objects.iter().filter(|(_, stored)| stored.revision > since).collect();
         changed.sort_by_key(|(_, stored)| stored.revision);
         let objects: Vec<Value> =
             changed.into_iter().map(|(id, stored)| document(id, stored)).collect();
-        Response::json(&json!({"revision": self.revision, "objects": objects}))
+        json_answer(200, &json!({"revision": self.revision, "objects": objects}))
     }
 
-    fn read(&self, id: &ObjectId) -> Response {
+    fn read(&self, id: &ObjectId) -> Answer {
         let Some(stored) = self.objects.get(id) else {
             return self.refuse(404, "unknown object", "");
         };
-        Response::json(&json!({"revision": self.revision, "object": document(id, stored)}))
+        json_answer(200, &json!({"revision": self.revision, "object": document(id, stored)}))
     }
 
     fn write(
@@ -389,7 +482,7 @@
         condition: Condition,
         body: WriteBody,
         max_tombstones: usize,
-    ) -> Response {
+    ) -> Answer {
         let live = self.objects.get(&id).filter(|stored| stored.spec.is_some());
         let current = live.map(|stored| stored.revision);
         let holds = match condition {
@@ -398,7 +491,7 @@
         };
         if !holds {
             let body = json!({"revision": self.revision, "error": "conflict", "current": current});
-            return Response::json(&body).with_status_code(412);
+            return json_answer(412, &body);
         }
         self.revision += 1;
         let revision = self.revision;
@@ -409,7 +502,7 @@
         while self.tombstones.len() > max_tombstones {
             self.drop_oldest_tombstone();
         }
-        Response::json(&json!({"revision": revision}))
+        json_answer(200, &json!({"revision": revision}))
     }
 
     fn drop_oldest_tombstone(&mut self) {
@@ -432,14 +525,13 @@
     })
 }
 
-fn parse_call(req: &Request) -> Option<Call> {
-    let url = req.url();
-    let segments: Vec<&str> = url.trim_start_matches('/').split('/').collect();
+fn parse_call(req: &WholeRequest) -> Option<Call> {
+    let segments: Vec<&str> = req.path().trim_start_matches('/').split('/').collect();
     match (req.method(), &segments[..]) {
         ("GET", ["v1", "objects"]) => Some(Call::List),
         ("GET", ["v1", "watch"]) => {
-            let since = req.get_param("since")?.parse().ok()?;
-            let wait_ms = req.get_param("wait_ms")?.parse().ok()?;
+            let since = req.param("since")?.parse().ok()?;
+            let wait_ms = req.param("wait_ms")?.parse().ok()?;
             Some(Call::Watch { since, wait: Duration::from_millis(wait_ms) })
         }
         ("GET", ["v1", "objects", kind, name]) => {
@@ -452,16 +544,10 @@
     }
 }
 
-fn parse_condition(req: &Request) -> Option<Condition> {
+fn parse_condition(req: &WholeRequest) -> Option<Condition> {
     match (req.header("If-Match"), req.header("If-None-Match")) {
         (Some(revision), None) => revision.parse().ok().map(Condition::At),
         (None, Some("*")) => Some(Condition::Absent),
         _ => None,
     }
 }
-
-fn read_body(req: &Request) -> Option<Vec<u8>> {
-    let mut body = Vec::new();
-    req.data()?.take(MAX_BODY_BYTES + 1).read_to_end(&mut body).ok()?;
-    (body.len() as u64 <= MAX_BODY_BYTES).then_some(body)
-}
--- a/crates/standins/tests/platform.rs
+++ b/crates/standins/tests/platform.rs
@@ -1,5 +1,7 @@
 //! Tests of the platform's stand-in over its HTTP protocol.
 
+use std::io::{Read, Write};
+use std::net::TcpStream;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -140,3 +142,23 @@
         expect![[r#"200 {"lists":1,"watches":0,"reads":0,"writes":2,"throttled":1}"#]],
     );
 }
+
+/// Guards against a connection that stays without an answer as long as the other connections are
+/// open. The HTTP client of a node keeps its connections open between calls.
+#[test]
+fn connections_opened_together_are_all_answered() {
+    for round in 0..50 {
+        let standin = start(PlatformConfig::default());
+        let mut connections: Vec<TcpStream> =
+            (0..12).map(|_| TcpStream::connect(standin.addr()).unwrap()).collect();
+        for connection in &mut connections {
+            connection.write_all(b"GET /counts HTTP/1.1\r\nhost: platform\r\n\r\n").unwrap();
+        }
+        for (index, connection) in connections.iter_mut().enumerate() {
+            connection.set_read_timeout(Some(Duration::from_secs(2))).unwrap();
+            let read = connection.read(&mut [0; 1024]);
+            let is_answered = matches!(read, Ok(length) if length > 0);
+            assert!(is_answered, "round {round}, connection {index}: {read:?}");
+        }
+    }
+}
