Give up a list whose answer does not begin in the time of a call

A list had 20 s for everything, so that one lost answer kept a starting node from the platform for 20 s. The head of the answer must now arrive within the time of a call, 2 s; the 20 s stay for the body.

silent_platform_times_out now lists too and failed before (20.9 s instead of less than 2 s). A second test guards against a limit that also cuts off a body that takes long.

A platform that takes more than 2 s to begin an answer now counts as unavailable for the list as well; it already did for watches, reads and writes. A body that stalls still takes the whole 20 s.

--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -31,9 +31,10 @@
 pub struct HttpStoreConfig {
     /// Longest time to connect.
     pub connect: Duration,
-    /// Longest time for a call of one object, and the time that a watch gets beyond its wait.
+    /// Longest time for a call of one object, for the start of the answer to a list, and the time
+    /// that a watch gets beyond its wait.
     pub call: Duration,
-    /// Longest time for a list.
+    /// Longest time for a list, of which most is for its body.
     pub list: Duration,
 }
 
@@ -47,6 +48,22 @@
     }
 }
 
+/// Time limits of one call.
+#[derive(Clone, Copy)]
+struct CallTime {
+    /// Longest time between the request and the head of its answer.
+    start: Duration,
+    /// Longest time for all of the call.
+    whole: Duration,
+}
+
+impl CallTime {
+    /// Limits without an earlier one for the head.
+    fn whole(whole: Duration) -> CallTime {
+        CallTime { start: whole, whole }
+    }
+}
+
 /// Client of the object API over HTTP.
 pub struct HttpStore {
     agent: Agent,
@@ -85,14 +102,15 @@
     fn fetch(
         &self,
         path: &str,
-        timeout: Duration,
+        time: CallTime,
         max_bytes: u64,
     ) -> Result<(u16, Vec<u8>), StoreError> {
         let answer = self
             .agent
             .get(format!("{}{path}", self.base))
             .config()
-            .timeout_global(Some(timeout))
+            .timeout_recv_response(Some(time.start))
+            .timeout_global(Some(time.whole))
             .build()
             .call()
             .map_err(unavailable)?;
@@ -102,8 +120,8 @@
         })
     }
 
-    fn fetch_objects(&self, path: &str, timeout: Duration) -> Result<ObjectsDocument, StoreError> {
-        let (status, body) = self.fetch(path, timeout, MAX_LISTING_BYTES)?;
+    fn fetch_objects(&self, path: &str, time: CallTime) -> Result<ObjectsDocument, StoreError> {
+        let (status, body) = self.fetch(path, time, MAX_LISTING_BYTES)?;
         match status {
             200 => parse(&body),
             status => Err(refusal(status, &body)),
@@ -117,14 +135,16 @@
 
 impl ObjectStore for HttpStore {
     fn list(&self) -> Result<Listing, StoreError> {
-        let doc = self.fetch_objects("/v1/objects", self.cfg.list)?;
+        // One lost answer would otherwise keep a starting node waiting for the time of a whole list.
+        let time = CallTime { start: self.cfg.call, whole: self.cfg.list };
+        let doc = self.fetch_objects("/v1/objects", time)?;
         Ok(Listing { revision: doc.revision, objects: read_objects(doc.objects) })
     }
 
     fn watch(&self, since: Revision, wait: Duration) -> Result<Changes, StoreError> {
         let wait = wait.min(MAX_WATCH_WAIT);
         let path = format!("/v1/watch?since={since}&wait_ms={}", wait.as_millis());
-        let doc = self.fetch_objects(&path, wait + self.cfg.call)?;
+        let doc = self.fetch_objects(&path, CallTime::whole(wait + self.cfg.call))?;
         if doc.revision < since {
             return Err(StoreError::ListNeeded);
         }
@@ -135,7 +155,8 @@
 
     fn read(&self, key: &ObjectKey) -> Result<Option<StoredObject>, StoreError> {
         let max_bytes = MAX_DOCUMENT_BYTES as u64 + ENVELOPE_BYTES;
-        let (status, body) = self.fetch(&object_path(key)?, self.cfg.call, max_bytes)?;
+        let time = CallTime::whole(self.cfg.call);
+        let (status, body) = self.fetch(&object_path(key)?, time, max_bytes)?;
         match status {
             200 => {}
             404 => return Ok(None),
--- a/crates/platform/tests/http.rs
+++ b/crates/platform/tests/http.rs
@@ -95,9 +95,29 @@
     assert!(lost.starts_with("Some(3011)"), "{lost}");
     let read = store(listener.local_addr().unwrap()).read(&key()).unwrap_err();
     assert_eq!(read.code().unwrap().number(), 3005);
+    let list = store(listener.local_addr().unwrap()).list().unwrap_err();
+    assert_eq!(list.code().unwrap().number(), 3005);
     assert!(started.elapsed() < Duration::from_secs(2));
 }
 
+/// Guards against a long list that is given up while it arrives, because the time for the start of
+/// an answer has passed.
+#[test]
+fn long_list_may_take_longer_than_its_start() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let _ = stream.read(&mut [0; 8192]).unwrap();
+        let bytes = answer(200, br#"{"revision":9,"objects":[]}"#);
+        let (start, rest) = bytes.split_at(bytes.len() - 10);
+        stream.write_all(start).unwrap();
+        thread::sleep(Duration::from_millis(600));
+        stream.write_all(rest).unwrap();
+    });
+    assert_eq!(store(addr).list().unwrap().revision, Revision(9));
+}
+
 /// Guards against one unreadable object that keeps a node from every other change, and against
 /// nodes that differ in what they make of it.
 #[test]
