Take the buckets of a partition that comes back to an earlier holder

A handover carries the epoch of the partition's record in place of the epoch under which the giver granted. The latter is the former shifted by 16 bits, so the receiver compared 2 with 65536. A process that had claimed the partition before refused the buckets as stale ("epoch 65536 was already seen"), yet took the right and acknowledged the message. The partition then had an owner that granted nothing, for as long as the process ran. The receiver now derives the giver's grant epoch from the right; the encoding on the wire stays as it is.

It was found while the slow starts of process tests were traced: on a busy machine a node takes another one for dead, claims its partitions and hands them back 10 s later.

Entries ignore lists of ejections of an epoch below the last one, so that a successor's lists may have been ignored after a handover too; that is read from the code and has no test.

--- a/crates/node/src/owners.rs
+++ b/crates/node/src/owners.rs
@@ -6,7 +6,7 @@
 
 use log::{info, warn};
 use membership::{
-    Candidate, Confirmation, HandoverReceived, LiveNodes, OwnerView, PlatformState, Step,
+    Candidate, Confirmation, Handover, HandoverReceived, LiveNodes, OwnerView, PlatformState, Step,
 };
 use model::{
     Epoch, Kind, NodeName, Object, ObjectKey, PartitionId, PartitionRecord, Revision, Time,
@@ -41,6 +41,14 @@
     Epoch(epoch.0 << HOP_BITS)
 }
 
+/// The grant epoch of the giver of a handover. The message carries only the epoch of the record; the
+/// receiver would take that for an epoch long past if it has held the partition before, and refuse
+/// the buckets.
+fn giver_epoch(right: &Handover) -> Epoch {
+    let earlier_hops = u64::from(right.hop.saturating_sub(1));
+    Epoch(grant_epoch(right.epoch).0 + earlier_hops)
+}
+
 /// The node to ask about a partition: its owner, or, if that has left or is silent, the node that it
 /// hands over to. A handover is known only to its two ends until the platform has recorded it, which
 /// takes hours when the platform is away.
@@ -173,7 +181,9 @@
         HandoverReceived::Refused => HandoverReply::Refused,
         HandoverReceived::Duplicate => HandoverReply::Taken,
         HandoverReceived::Accepted => {
-            let accepted = lock(&node.limiter.owner).accept(node.now(), handover.buckets.clone());
+            let epoch = giver_epoch(&handover.right);
+            let buckets = limits::Handover { epoch, ..handover.buckets.clone() };
+            let accepted = lock(&node.limiter.owner).accept(node.now(), buckets);
             drop(ownership);
             match accepted {
                 Ok(epoch) => {
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -198,7 +198,8 @@
 pub struct PartitionHandover {
     /// The right to grant.
     pub right: membership::Handover,
-    /// The buckets.
+    /// The buckets. Their epoch is not sent: it arrives as the epoch of the right, and the receiver
+    /// replaces it by the one that the giver granted under.
     pub buckets: limits::Handover,
 }
 
