--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -198,7 +198,8 @@
 pub struct PartitionHandover {
     /// The right to grant.
     pub right: membership::Handover,
-    /// The buckets.
+    /// The buckets. Their epoch is not that of the right: it counts handovers as well, and the
+    /// receiver refuses buckets of an epoch that it has seen.
     pub buckets: limits::Handover,
     /// Time until the first ejection of arbiters in the partition that are not among `arbiters`.
     pub ejection_wait: Duration,
