Let a node that has handed a partition over name the receiver

Cause: until the platform has recorded a handover, only its two ends know of it. If the giver stays alive, every third node goes on asking it as the recorded owner, gets "not the owner", and misses the shares of the account, and its health reports do not reach the arbiter, for as long as the platform is away.

TokenAnswers and a HealthReply without a list now carry the newest handover that the asked node knows of. The asking node takes note of it (Ownership::learn) and sends the request on, at most 3 times. The decision is in membership: a handover counts if its (epoch, hop) is newer than the record, than every known handover and than the node's own rights, so two nodes that each name the other end after one trip. It is dropped when a newer record comes, and not followed while the named process is not live; the highest ranked live node is asked then, as before. This also ends a giver's own use of its handover after newer records. Token requests stay open at the entry, so the life of an allowance still counts from the first send. PROTOCOL_VERSION is 2, since both frames have changed.

Ruled out: asking the highest ranked live node after "not the owner" (misses the receiver once a higher ranked node has come back); forwarding by the giver (one more trip for each request, and it ends with the giver).

--- a/crates/membership/src/ownership.rs
+++ b/crates/membership/src/ownership.rs
@@ -4,6 +4,11 @@
 //! record. The right to grant in an epoch belongs to one process at a time. It comes into being
 //! when the process named by a new record has waited until no earlier owner can still act, and it
 //! moves by a handover, in which the giver gives up the right before it sends the message.
+//!
+//! Until the platform has recorded a handover, only its two ends know of it. A node that is asked in
+//! vain therefore names the newest handover that it knows of, and the asking node remembers it, see
+//! [`Ownership::learn`]. Handovers within an epoch are numbered, so two nodes that each name the
+//! other are told apart by the number, and a node never follows an older handover after a newer one.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -200,6 +205,9 @@
     newest: (Epoch, u32),
     /// The handover that gave the newest right away.
     given: Option<Given>,
+    /// The newest handover that is known, made by this process or learned from another node, while
+    /// it is newer than the record and than every right that this process has held.
+    moved: Option<Handover>,
     /// Whether the caller has buckets for the partition.
     is_started: bool,
 }
@@ -225,6 +233,7 @@
             claim: Claim::None,
             newest: (Epoch(0), 0),
             given: None,
+            moved: None,
             is_started: false,
         };
         let partitions = partitions.into_iter().map(|id| (id, empty())).collect();
@@ -241,6 +250,7 @@
         }
         partition.record = Some((record.clone(), revision));
         partition.claim = Claim::None;
+        partition.moved.take_if(|moved| moved.epoch < record.epoch);
         let Right::Held { epoch, .. } = partition.right else {
             if is_own && record.epoch > partition.newest.0 {
                 partition.claim = Claim::Confirming(Confirmation::new(revision));
@@ -270,16 +280,45 @@
         recorded == Some(epoch) && lease.is_valid(now)
     }
 
-    /// The node to ask for grants: the one that the record or a received handover names.
-    pub fn owner(&self, id: PartitionId) -> Option<&NodeName> {
+    /// The node to ask for grants: the own one while it holds the right, else the receiver of the
+    /// newest known handover, else the recorded owner. `None` if `can_own` rejects that node: a
+    /// received right is lost with its process, so an earlier holder is not asked instead.
+    ///
+    /// `can_own` tells whether a node, or a certain process of it, is live.
+    pub fn owner(
+        &self,
+        id: PartitionId,
+        can_own: impl Fn(&NodeName, Option<Incarnation>) -> bool,
+    ) -> Option<&NodeName> {
         let partition = self.partitions.get(&id)?;
-        if let Right::Held { .. } = partition.right {
-            return Some(&self.own);
-        }
-        if let Some(given) = &partition.given {
-            return Some(&given.message.to);
+        let (owner, process) = match (partition.right, &partition.moved, &partition.record) {
+            (Right::Held { .. }, _, _) => (&self.own, None),
+            (Right::None, Some(moved), _) => (&moved.to, Some(moved.to_incarnation)),
+            (Right::None, None, Some((record, _))) => (&record.owner, None),
+            (Right::None, None, None) => return None,
+        };
+        can_own(owner, process).then_some(owner)
+    }
+
+    /// The newest known handover that the platform has not recorded, to be named to a node that
+    /// asks this one in vain.
+    pub fn moved(&self, id: PartitionId) -> Option<&Handover> {
+        self.partitions.get(&id)?.moved.as_ref()
+    }
+
+    /// Takes note of a handover that another node has named. Ignored unless it is newer than the
+    /// record, than every other known handover, and than the rights that this process has held.
+    pub fn learn(&mut self, moved: &Handover) {
+        let Some(partition) = self.partitions.get_mut(&moved.partition) else { return };
+        let number = (moved.epoch, moved.hop);
+        let known = partition.moved.as_ref().map(|known| (known.epoch, known.hop));
+        let recorded = partition.record.as_ref().map(|(record, _)| record.epoch);
+        let is_newer = number > partition.newest
+            && known.is_none_or(|known| number > known)
+            && recorded.is_none_or(|epoch| moved.epoch >= epoch);
+        if is_newer {
+            partition.moved = Some(moved.clone());
         }
-        partition.record.as_ref().map(|(record, _)| &record.owner)
     }
 
     /// Decides what to do next for a partition. To be called on a timer and after each event.
@@ -386,6 +425,7 @@
         let given =
             Given { message: message.clone(), since: now, next_send, is_acknowledged: false };
         partition.given = Some(given);
+        partition.moved = Some(message.clone());
         Some(message)
     }
 
@@ -426,6 +466,7 @@
         self.right = Right::Held { epoch, hop };
         self.newest = (epoch, hop);
         self.given = None;
+        self.moved = None;
     }
 
     /// What the giver of a handover has to do, or `None` if there is none or it has failed.
--- a/crates/node/src/health.rs
+++ b/crates/node/src/health.rs
@@ -12,13 +12,14 @@
 use limits::PARTITIONS;
 use log::info;
 use model::{
-    EndpointName, Epoch, Incarnation, PartitionId, RouteName, ServiceName, Time, stable_hash,
+    EndpointName, Epoch, Incarnation, NodeName, PartitionId, RouteName, ServiceName, Time,
+    stable_hash,
 };
 use payload::Payload;
 use tokio::time::{sleep, timeout};
 use wire::{Frame, HealthReply, HealthUpdate, Probe, ProbeReport};
 
-use crate::owners::node_to_ask;
+use crate::owners::{MAX_REDIRECTS, next_to_ask, node_to_ask};
 use crate::shared::{Map, Node, lock, read};
 
 /// Interval at which a node and the arbiters exchange reports and ejections.
@@ -126,7 +127,9 @@
         let mut arbiters = lock(&self.arbiters);
         let Arbiters { services, probes, .. } = &mut *arbiters;
         let Some(arbiter) = services.get_mut(&update.service) else {
-            return HealthReply { list: None, probes: Vec::new() };
+            drop(arbiters);
+            let moved = lock(&node.ownership).moved(partition_of(&update.service)).cloned();
+            return HealthReply { list: None, probes: Vec::new(), moved };
         };
         if let Some(report) = &update.report {
             arbiter.report(report, now);
@@ -145,7 +148,7 @@
         for endpoint in reported.map(|entry| &entry.endpoint).chain(&update.endpoints) {
             due.extend(probes.remove(endpoint).unwrap_or_default());
         }
-        HealthReply { list: Some(arbiter.list(now)), probes: due }
+        HealthReply { list: Some(arbiter.list(now)), probes: due, moved: None }
     }
 }
 
@@ -198,14 +201,30 @@
     }
 }
 
-/// Sends an update to the arbiter of a service and waits for its reply.
+/// Sends an update to the arbiter of a service and waits for its reply. A node that has handed the
+/// service's partition over names the one to ask instead.
 async fn send_update(
     node: &Node,
     service: &ServiceName,
     update: HealthUpdate,
 ) -> Option<HealthReply> {
-    let owner = node_to_ask(node, partition_of(service))?;
-    if owner == node.info().node {
+    let id = partition_of(service);
+    let mut owner = node_to_ask(node, id)?;
+    for _ in 0..MAX_REDIRECTS {
+        let reply = ask_arbiter(node, &owner, update.clone()).await?;
+        if reply.list.is_some() {
+            return Some(reply);
+        }
+        let Some(next) = next_to_ask(node, id, &owner, reply.moved.as_ref()) else {
+            return Some(reply);
+        };
+        owner = next;
+    }
+    ask_arbiter(node, &owner, update).await
+}
+
+async fn ask_arbiter(node: &Node, owner: &NodeName, update: HealthUpdate) -> Option<HealthReply> {
+    if *owner == node.info().node {
         return Some(node.health.take_update(node, update));
     }
     let peer = node.peers.find(owner.as_str())?;
--- a/crates/node/src/limiter.rs
+++ b/crates/node/src/limiter.rs
@@ -1,6 +1,6 @@
 //! Rate limits: takes tokens as an entry and grants them as an owner.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -8,9 +8,9 @@
 use model::{Account, AccountName, NodeName, PartitionId, ResultCode, Time};
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout_at};
-use wire::{Frame, PartitionHandover};
+use wire::{Frame, PartitionHandover, TokenAnswers};
 
-use crate::owners::node_to_ask;
+use crate::owners::{MAX_REDIRECTS, next_to_ask, node_to_ask};
 use crate::shared::{Map, Node, lock, read};
 
 /// Longest pause between two looks at the reports that are due.
@@ -100,8 +100,19 @@
     }
 
     /// Answers requests of an entry.
-    pub(crate) fn serve(&self, node: &Node, requests: &[TokenRequest]) -> Vec<TokenAnswer> {
-        requests.iter().filter_map(|request| self.decide(node, request)).collect()
+    pub(crate) fn serve(&self, node: &Node, requests: &[TokenRequest]) -> TokenAnswers {
+        let (mut answers, mut moved) = (Vec::new(), BTreeMap::new());
+        for request in requests {
+            let Some(answer) = self.decide(node, request) else { continue };
+            let id = request.partition;
+            if answer.result == TokenResult::NotOwner
+                && let Some(handover) = lock(&node.ownership).moved(id)
+            {
+                moved.entry(id).or_insert_with(|| handover.clone());
+            }
+            answers.push(answer);
+        }
+        TokenAnswers { answers, moved: moved.into_values().collect() }
     }
 
     /// Ownership, lease and bucket are looked at in one step, so that no grant is made by a process
@@ -177,6 +188,11 @@
 
 /// Sends requests to the owners of their partitions.
 fn send(node: &Arc<Node>, requests: Vec<TokenRequest>) {
+    send_on(node, requests, MAX_REDIRECTS);
+}
+
+/// Sends requests, new ones or those that came back from a node that does not own their partition.
+fn send_on(node: &Arc<Node>, requests: Vec<TokenRequest>, redirects: u32) {
     if requests.is_empty() {
         return;
     }
@@ -188,12 +204,12 @@
     for (owner, requests) in by_owner {
         match owner {
             Some(owner) if owner == node.info().node => {
-                let answers = node.limiter.serve(node, &requests);
+                let answers = node.limiter.serve(node, &requests).answers;
                 let asks = node.limiter.take_answers(node.now(), &answers);
                 send(node, asks);
             }
             Some(owner) => {
-                tokio::spawn(ask(Arc::clone(node), owner, requests));
+                tokio::spawn(ask(Arc::clone(node), owner, requests, redirects));
             }
             None => {
                 let wanted = requests.iter().filter(|request| request.wanted.0 > 0);
@@ -205,16 +221,47 @@
     }
 }
 
-async fn ask(node: Arc<Node>, owner: NodeName, requests: Vec<TokenRequest>) {
+async fn ask(node: Arc<Node>, owner: NodeName, requests: Vec<TokenRequest>, redirects: u32) {
     let Some(peer) = node.peers.find(owner.as_str()) else { return };
     for batch in requests.chunks(MAX_BATCH) {
         let reply = peer.client.request(Frame::TokenRequests(batch.to_vec())).await;
-        let Ok(Frame::TokenAnswers(answers)) = reply else { continue };
-        let asks = node.limiter.take_answers(node.now(), &answers);
+        let Ok(Frame::TokenAnswers(mut reply)) = reply else { continue };
+        if let Some(left) = redirects.checked_sub(1) {
+            let misdirected = take_misdirected(&node, &owner, batch, &mut reply);
+            send_on(&node, misdirected, left);
+        }
+        let asks = node.limiter.take_answers(node.now(), &reply.answers);
         send(&node, asks);
     }
 }
 
+/// Takes out the answers of a node that does not own the partition where another node should be
+/// asked, and returns their requests. They stay open at the entry, which counts the life of an
+/// allowance from the first time that the request was sent.
+fn take_misdirected(
+    node: &Node,
+    asked: &NodeName,
+    requests: &[TokenRequest],
+    reply: &mut TokenAnswers,
+) -> Vec<TokenRequest> {
+    let TokenAnswers { answers, moved } = reply;
+    let mut misdirected = Vec::new();
+    answers.retain(|answer| {
+        if answer.result != TokenResult::NotOwner {
+            return true;
+        }
+        let request = requests.iter().find(|request| request.sequence == answer.sequence);
+        let Some(request) = request else { return true };
+        let moved = moved.iter().find(|moved| moved.partition == request.partition);
+        let is_misdirected = next_to_ask(node, request.partition, asked, moved).is_some();
+        if is_misdirected {
+            misdirected.push(request.clone());
+        }
+        !is_misdirected
+    });
+    misdirected
+}
+
 /// Sends the reports that are due and drops what is cold.
 pub(crate) async fn tick(node: Arc<Node>) {
     let mut rounds: u32 = 0;
--- a/crates/node/src/owners.rs
+++ b/crates/node/src/owners.rs
@@ -6,7 +6,7 @@
 
 use log::{info, warn};
 use membership::{
-    Candidate, Confirmation, HandoverReceived, LiveNodes, OwnerView, PlatformState, Step,
+    Candidate, Confirmation, Handover, HandoverReceived, LiveNodes, OwnerView, PlatformState, Step,
 };
 use model::{
     Epoch, Kind, NodeName, Object, ObjectKey, PartitionId, PartitionRecord, Revision, Time,
@@ -32,6 +32,11 @@
 /// Bits of a grant epoch that count the handovers within one epoch of the record.
 const HOP_BITS: u32 = 16;
 
+/// Most times that a request is sent on to the node that an answer names. Two handovers in a row by
+/// nodes that stay alive are rare, and the trips must fit into the 30 ms after which an entry takes
+/// an owner for silent.
+pub(crate) const MAX_REDIRECTS: u32 = 3;
+
 /// Silence of a member after which its record is removed. Long enough for a restart in place.
 const REMOVE_AFTER: Duration = Duration::from_secs(120);
 
@@ -41,15 +46,30 @@
     Epoch(epoch.0 << HOP_BITS)
 }
 
-/// The node to ask about a partition: its owner, or, if that has left or is silent, the node that it
-/// hands over to. A handover is known only to its two ends until the platform has recorded it, which
-/// takes hours when the platform is away.
+/// The node to ask about a partition: its owner as far as this node knows it, or, if that has left or
+/// is silent, the node that it hands over to. A handover is known only to its two ends, and to those
+/// that have asked the giver, until the platform has recorded it, which takes hours when the platform
+/// is away.
 pub(crate) fn node_to_ask(node: &Node, id: PartitionId) -> Option<NodeName> {
-    let owner = lock(&node.ownership).owner(id).cloned();
-    if owner.as_ref().is_some_and(|owner| node.peers.can_own(node, owner)) {
-        return owner;
+    let can_own = |name: &NodeName, process| node.peers.can_own(node, name, process);
+    let owner = lock(&node.ownership).owner(id, can_own).cloned();
+    owner.or_else(|| {
+        node.peers.live(node).preferred(id, None).map(|candidate| candidate.name.clone())
+    })
+}
+
+/// The node to ask after `asked` has answered that it does not own a partition, and has named the
+/// newest handover that it knows of. `None` if there is no better one.
+pub(crate) fn next_to_ask(
+    node: &Node,
+    id: PartitionId,
+    asked: &NodeName,
+    moved: Option<&Handover>,
+) -> Option<NodeName> {
+    if let Some(moved) = moved {
+        lock(&node.ownership).learn(moved);
     }
-    node.peers.live(node).preferred(id, None).map(|candidate| candidate.name.clone())
+    node_to_ask(node, id).filter(|next| next != asked)
 }
 
 /// Claims, keeps and gives up partitions.
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -129,14 +129,22 @@
         live
     }
 
-    /// Tells whether a member could own partitions.
-    pub(crate) fn can_own(&self, node: &Node, name: &NodeName) -> bool {
-        if *name == node.info().node {
-            return node.phase() == Phase::Serving;
+    /// Tells whether a member, or a certain process of it, could own partitions.
+    pub(crate) fn can_own(
+        &self,
+        node: &Node,
+        name: &NodeName,
+        process: Option<Incarnation>,
+    ) -> bool {
+        let info = node.info();
+        if *name == info.node {
+            let is_process = process.is_none_or(|process| process == info.incarnation);
+            return is_process && node.phase() == Phase::Serving;
         }
         let lease = lock(&node.lease);
         let members = lock(&self.members);
-        members.get(name).is_some_and(|peer| live_candidate(peer, &lease, node.now()).is_some())
+        let live = members.get(name).and_then(|peer| live_candidate(peer, &lease, node.now()));
+        live.is_some_and(|live| process.is_none_or(|process| process == live.incarnation))
     }
 
     /// Number of members heard from lately, the own node included.
--- a/crates/wire/src/encoding.rs
+++ b/crates/wire/src/encoding.rs
@@ -16,10 +16,10 @@
 
 use crate::frame::{
     AnswerHead, BodyPart, Call, EndpointLoad, FenceStatus, Frame, HandoverReply, Head, Header,
-    Hello, Ping, Pong, Purpose, Table, Welcome,
+    Hello, Ping, Pong, Purpose, Table, TokenAnswers, Welcome,
 };
 use crate::health::{self, WireReply, WireUpdate};
-use crate::tokens::{self, WireHandover, WireTokenAnswer, WireTokenRequest};
+use crate::tokens::{self, WireHandover, WireRight, WireTokenAnswer, WireTokenRequest};
 use crate::{MAX_CHUNK_BYTES, MAX_FRAME_BYTES};
 
 /// A frame could not be read.
@@ -136,7 +136,7 @@
     #[serde(rename = "tr")]
     TokenRequests(Vec<WireTokenRequest>),
     #[serde(rename = "tg")]
-    TokenAnswers(Vec<WireTokenAnswer>),
+    TokenAnswers(Vec<WireTokenAnswer>, Vec<WireRight>),
     #[serde(rename = "ho")]
     Handover(Box<WireHandover>),
     #[serde(rename = "hr")]
@@ -214,9 +214,10 @@
             Frame::TokenRequests(requests) => {
                 WireFrame::TokenRequests(requests.iter().map(tokens::request_to_wire).collect())
             }
-            Frame::TokenAnswers(answers) => {
-                WireFrame::TokenAnswers(answers.iter().map(tokens::answer_to_wire).collect())
-            }
+            Frame::TokenAnswers(TokenAnswers { answers, moved }) => WireFrame::TokenAnswers(
+                answers.iter().map(tokens::answer_to_wire).collect(),
+                moved.iter().map(tokens::right_to_wire).collect(),
+            ),
             Frame::Handover(handover) => {
                 WireFrame::Handover(Box::new(tokens::handover_to_wire(handover)))
             }
@@ -335,9 +336,13 @@
             WireFrame::TokenRequests(requests) => Frame::TokenRequests(
                 requests.into_iter().map(tokens::request_from_wire).collect::<Result<_, _>>()?,
             ),
-            WireFrame::TokenAnswers(answers) => Frame::TokenAnswers(
-                answers.into_iter().map(tokens::answer_from_wire).collect::<Result<_, _>>()?,
-            ),
+            WireFrame::TokenAnswers(answers, moved) => Frame::TokenAnswers(TokenAnswers {
+                answers: answers
+                    .into_iter()
+                    .map(tokens::answer_from_wire)
+                    .collect::<Result<_, _>>()?,
+                moved: moved.into_iter().map(tokens::right_from_wire).collect::<Result<_, _>>()?,
+            }),
             WireFrame::Handover(handover) => {
                 Frame::Handover(Box::new(tokens::handover_from_wire(*handover)?))
             }
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -202,6 +202,16 @@
     pub buckets: limits::Handover,
 }
 
+/// Reply to requests for tokens.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TokenAnswers {
+    /// The answers.
+    pub answers: Vec<TokenAnswer>,
+    /// The newest known handover of each partition that the receiver may not grant for, as far as
+    /// the platform has not recorded it.
+    pub moved: Vec<membership::Handover>,
+}
+
 /// What became of a handover.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum HandoverReply {
@@ -251,6 +261,9 @@
     pub list: Option<EjectionList>,
     /// Probes that the sender's guard shall make.
     pub probes: Vec<Probe>,
+    /// If there is no list: the newest known handover of the service's partition, unless the
+    /// platform has recorded it.
+    pub moved: Option<membership::Handover>,
 }
 
 /// A frame between two nodes.
@@ -326,7 +339,7 @@
     /// Requests for tokens, all to the receiver's partitions.
     TokenRequests(Vec<TokenRequest>),
     /// Reply to requests for tokens.
-    TokenAnswers(Vec<TokenAnswer>),
+    TokenAnswers(TokenAnswers),
     /// Moves the ownership of a partition, with its buckets.
     Handover(Box<PartitionHandover>),
     /// Whether a handover was taken.
--- a/crates/wire/src/health.rs
+++ b/crates/wire/src/health.rs
@@ -11,6 +11,7 @@
 
 use crate::encoding::{DecodeError, id};
 use crate::frame::{HealthReply, HealthUpdate, Probe, ProbeReport};
+use crate::tokens::{WireRight, right_from_wire, right_to_wire};
 
 type WireReportEntry = (String, String, u32, Vec<(u8, u32)>);
 type WireReport = (u64, u64, Vec<WireReportEntry>);
@@ -28,9 +29,9 @@
     Vec<String>,
 );
 
-/// List, probes to make.
+/// List, probes to make, handover of the partition.
 #[derive(Debug, Serialize, Deserialize)]
-pub(crate) struct WireReply(Option<WireList>, Vec<(String, String)>);
+pub(crate) struct WireReply(Option<WireList>, Vec<(String, String)>, Option<WireRight>);
 
 pub(crate) fn update_to_wire(update: &HealthUpdate) -> WireUpdate {
     let held = |held: &HeldEjection| {
@@ -63,17 +64,22 @@
 
 pub(crate) fn reply_to_wire(reply: &HealthReply) -> WireReply {
     let probe = |probe: &Probe| (probe.route.to_string(), probe.endpoint.to_string());
-    WireReply(reply.list.as_ref().map(list_to_wire), reply.probes.iter().map(probe).collect())
+    WireReply(
+        reply.list.as_ref().map(list_to_wire),
+        reply.probes.iter().map(probe).collect(),
+        reply.moved.as_ref().map(right_to_wire),
+    )
 }
 
 pub(crate) fn reply_from_wire(reply: WireReply) -> Result<HealthReply, DecodeError> {
-    let WireReply(list, probes) = reply;
+    let WireReply(list, probes, moved) = reply;
     let probe = |(route, endpoint): (String, String)| -> Result<Probe, DecodeError> {
         Ok(Probe { route: id(route)?, endpoint: id(endpoint)? })
     };
     Ok(HealthReply {
         list: list.map(list_from_wire).transpose()?,
         probes: probes.into_iter().map(probe).collect::<Result<_, _>>()?,
+        moved: moved.map(right_from_wire).transpose()?,
     })
 }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -13,11 +13,11 @@
 pub use frame::{
     AnswerHead, BodyPart, Call, Digest, EndpointLoad, FenceStatus, Frame, HandoverReply, Head,
     Header, HealthReply, HealthUpdate, Hello, Nonce, PartitionHandover, Ping, Pong, Probe,
-    ProbeReport, Purpose, Table, Welcome,
+    ProbeReport, Purpose, Table, TokenAnswers, Welcome,
 };
 
 /// Version of the protocol. A node refuses a link with another version.
-pub const PROTOCOL_VERSION: u16 = 1;
+pub const PROTOCOL_VERSION: u16 = 2;
 
 /// Largest frame, in bytes. A transfer of objects is cut well below it; a handover of all buckets
 /// of a partition is the largest single frame.
--- a/crates/wire/src/tokens.rs
+++ b/crates/wire/src/tokens.rs
@@ -20,6 +20,9 @@
 type WireGrant = (u64, u64, u32, u32, u64);
 type WireBucket = (String, u8, u64, u32, u64, Vec<WireGrant>);
 
+/// Partition, epoch, hop, receiver and its incarnation.
+pub(crate) type WireRight = (u16, u64, u32, String, u64);
+
 /// Partition, epoch, hop, receiver and its incarnation, age in microseconds, buckets.
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct WireHandover(u16, u64, u32, String, u64, u64, Vec<WireBucket>);
@@ -77,6 +80,22 @@
     Ok(TokenAnswer { account: id(account)?, sequence, result })
 }
 
+pub(crate) fn right_to_wire(right: &membership::Handover) -> WireRight {
+    let membership::Handover { partition, epoch, hop, to, to_incarnation } = right;
+    (partition.0, epoch.0, *hop, to.to_string(), to_incarnation.0)
+}
+
+pub(crate) fn right_from_wire(right: WireRight) -> Result<membership::Handover, DecodeError> {
+    let (partition, epoch, hop, to, to_incarnation) = right;
+    Ok(membership::Handover {
+        partition: PartitionId(partition),
+        epoch: Epoch(epoch),
+        hop,
+        to: id(to)?,
+        to_incarnation: Incarnation(to_incarnation),
+    })
+}
+
 pub(crate) fn handover_to_wire(handover: &PartitionHandover) -> WireHandover {
     let PartitionHandover { right, buckets } = handover;
     WireHandover(
--- a/crates/wire/tests/frames.rs
+++ b/crates/wire/tests/frames.rs
@@ -9,7 +9,7 @@
 use wire::{
     AnswerHead, BodyPart, Call, DecodeError, EndpointLoad, FenceStatus, Frame, HandoverReply, Head,
     Header, HealthReply, HealthUpdate, Hello, MAX_CHUNK_BYTES, MAX_FRAME_BYTES, PartitionHandover,
-    Ping, Pong, Probe, ProbeReport, Purpose, Table, Welcome, decode, encode,
+    Ping, Pong, Probe, ProbeReport, Purpose, Table, TokenAnswers, Welcome, decode, encode,
 };
 
 fn seeded(seed: u64) -> ProptestConfig {
@@ -193,7 +193,7 @@
     let (node, domain, incarnation) = (id("node-1"), id("mid-a"), Incarnation(7));
     let (nonce, proof) = ([1; 16], [2; 32]);
     let clock = Time::from_micros(1_000_000);
-    let version = 1;
+    let version = wire::PROTOCOL_VERSION;
     let purpose = Purpose::Call;
     let hello = Hello {
         version,
@@ -293,6 +293,8 @@
     let next_in = Duration::from_millis(100);
     let result = limits::TokenResult::Decided { granted: model::Tokens(5), next_in };
     let answer = limits::TokenAnswer { account: id("club"), sequence: 8, result };
+    let result = limits::TokenResult::NotOwner;
+    let not_owner = limits::TokenAnswer { account: id("club"), sequence: 9, result };
     let bucket = limits::BucketState {
         account: id("club"),
         share,
@@ -320,14 +322,18 @@
         endpoints: vec![id("orders-1")],
     };
     let list = health::EjectionList { epoch, sequence: 1, entries: Vec::new() };
-    let reply = HealthReply { list: Some(list), probes: vec![probe] };
+    let reply = HealthReply { list: Some(list), probes: vec![probe], moved: None };
+    let moved = right.clone();
+    let no_arbiter = HealthReply { list: None, probes: Vec::new(), moved: Some(moved.clone()) };
+    let answers = TokenAnswers { answers: vec![answer, not_owner], moved: vec![moved] };
     vec![
         ("TokenRequests", Frame::TokenRequests(vec![request])),
-        ("TokenAnswers", Frame::TokenAnswers(vec![answer])),
+        ("TokenAnswers", Frame::TokenAnswers(answers)),
         ("Handover", Frame::Handover(Box::new(PartitionHandover { right, buckets }))),
         ("HandoverReply", Frame::HandoverReply(HandoverReply::Taken)),
         ("HealthUpdate", Frame::HealthUpdate(Box::new(update))),
         ("HealthReply", Frame::HealthReply(Box::new(reply))),
+        ("HealthReply", Frame::HealthReply(Box::new(no_arbiter))),
     ]
 }
 
--- a/crates/zinniacross/tests/common/mod.rs
+++ b/crates/zinniacross/tests/common/mod.rs
@@ -131,6 +131,12 @@
         self.unsettled().is_empty()
     }
 
+    /// Waits until all nodes are members and every partition has an owner, and tells whether that
+    /// came about in time.
+    pub fn wait_settled(&self, within: Duration) -> bool {
+        wait_until(within, || self.is_settled())
+    }
+
     /// What keeps the fleet from its steady state.
     fn unsettled(&self) -> Vec<String> {
         let Ok(listing) = self.store.list() else { return vec!["no listing".to_owned()] };
--- a/crates/zinniacross/tests/rates.rs
+++ b/crates/zinniacross/tests/rates.rs
@@ -7,9 +7,10 @@
 use std::time::{Duration, Instant};
 
 use common::{Connections, Done, Fleet, Plan, StopOnDrop, millis, seconds};
-use model::CallerKey;
+use limits::shares;
+use model::{Account, Burst, CallerKey, PartitionId, Rate, stable_hash};
 use standins::platform::Faults;
-use standins::process::Signal;
+use standins::process::{Signal, wait_until};
 use standins::upstream::Behaviour;
 
 const RATE: u32 = 40;
@@ -230,3 +231,115 @@
         assert!(rate > 0.95 * f64::from(RATE), "entry {entry} got {rate:.1}/s");
     }
 }
+
+/// A fleet of three nodes in which nodes 0 and 2 have handed partitions over to node 1, which can't
+/// reach the platform to record that.
+struct HandedOver {
+    fleet: Fleet,
+    /// The partitions that node 0 and those that node 2 handed over.
+    given: [Vec<PartitionId>; 2],
+}
+
+fn hand_over_to_live_node() -> HandedOver {
+    let mut fleet = Fleet::start(3);
+    fleet.kill(1);
+    let held = |fleet: &Fleet| -> u32 {
+        [0, 2].iter().filter_map(|node| fleet.nodes[*node].partitions_held()).sum()
+    };
+    let is_claimed = || held(&fleet) == u32::from(limits::PARTITIONS);
+    assert!(wait_until(seconds(30), is_claimed), "{} partitions have an owner", held(&fleet));
+    let logged = [0, 2].map(|node| fleet.log(node).len());
+    fleet.cut_platform(1);
+    fleet.restart(1);
+    // The owners wait 10 s before they trust the node that has come back.
+    assert!(fleet.wait_settled(seconds(40)), "nothing was handed over to node 1");
+    let given = [(0, logged[0]), (2, logged[1])].map(|(node, start)| {
+        let log = fleet.log(node);
+        let lines = log[start..].lines().filter(|line| line.contains("was handed over to node-1"));
+        let id = |line: &str| line.split("partition ").nth(1)?.split(' ').next()?.parse().ok();
+        lines.filter_map(id).map(PartitionId).collect()
+    });
+    HandedOver { fleet, given }
+}
+
+/// Guards against entries that keep asking the giver of a handover when it stays alive. The platform,
+/// which would name the new owner, is away. Of the six shares of the account, two have been handed
+/// over by each of nodes 0 and 2, and each entry must get the whole rate when it alone has the
+/// callers.
+#[test]
+fn partitions_handed_to_a_live_node_without_platform_are_found_by_every_entry() {
+    let HandedOver { mut fleet, given } = hand_over_to_live_node();
+    let account = Account { rate: Rate::per_second(RATE), burst: Burst(BURST) };
+    let is_third_given = |name: &String| {
+        let shares: Vec<_> = shares(&name.parse().unwrap(), &account).collect();
+        let count = |given: &Vec<PartitionId>| {
+            shares.iter().filter(|share| given.contains(&share.partition)).count()
+        };
+        given.iter().all(|given| count(given) == 2)
+    };
+    let name = (0..10_000).map(|number| format!("club-{number}")).find(is_third_given);
+    let name = name.unwrap_or_else(|| panic!("no such account with {given:?}"));
+    for node in 0..3 {
+        fleet.upstream(node, "greedy", 16, Behaviour::default());
+    }
+    fleet.route("greedy", "keyed", 500);
+    let key = fleet.account(&name, RATE, BURST);
+    fleet.wait_served("/greedy/ready", Some(&key));
+    fleet.platform.set_faults(Faults { down: true, ..Faults::default() });
+    let rates = [0, 1, 2].map(|entry| {
+        // The tokens that the calls before have taken are back after this pause.
+        thread::sleep(seconds(1));
+        let started = Instant::now();
+        let done = fleet.calls_while(&[entry; 8], &plan("greedy", &key, millis(20)), || {
+            thread::sleep(seconds(5))
+        });
+        let rate = served_per_second(&done, started + seconds(1), started + seconds(5));
+        println!("entry {entry}: served {rate:.1}/s of {RATE}/s after a handover to node 1");
+        rate
+    });
+    for (entry, rate) in rates.into_iter().enumerate() {
+        assert!(rate > 0.95 * f64::from(RATE), "entry {entry} got {rate:.1}/s");
+    }
+}
+
+/// Guards against guards that keep reporting to the giver of a handover when it stays alive. Node 0
+/// neither gave nor received the partition of the service, and the upstream that fails is its own, so
+/// nothing is ejected unless its reports find the arbiter.
+#[test]
+fn an_arbiter_on_a_live_node_is_found_without_platform() {
+    let HandedOver { mut fleet, given } = hand_over_to_live_node();
+    let is_given = |name: &String| {
+        let hash = stable_hash(&[b"health", name.as_bytes()]);
+        given[1].contains(&PartitionId((hash % u64::from(limits::PARTITIONS)) as u16))
+    };
+    let service = (0..10_000).map(|number| format!("orders-{number}")).find(is_given);
+    let service = service.unwrap_or_else(|| panic!("no such service with {given:?}"));
+    let healthy = Behaviour { service_ms: 10, ..Behaviour::default() };
+    for index in 0..6 {
+        fleet.upstream(index % 3, &service, 4, healthy.clone());
+    }
+    fleet.route(&service, "open", 3000);
+    fleet.wait_served(&format!("/{service}/ready"), None);
+    fleet.platform.set_faults(Faults { down: true, ..Faults::default() });
+    let plan = Plan {
+        method: "GET",
+        path: format!("/{service}/"),
+        key: None,
+        pause: millis(1),
+        connections: Connections::Kept,
+    };
+    let mut ejected = None;
+    // More callers than slots, so that the failing upstream is used although entries prefer others.
+    fleet.calls_while(&[0, 1, 2].repeat(10), &plan, || {
+        // The arbiter makes no ejection in its first 8 s.
+        thread::sleep(seconds(10));
+        fleet.upstreams[0].set_behaviour(Behaviour { fail_one_in: 2, ..healthy });
+        let started = Instant::now();
+        let failing = format!("\"{service}-0\"");
+        let is_ejection = |line: &str| line.contains("Eject {") && line.contains(&failing);
+        let is_ejected = || fleet.log(1).lines().any(is_ejection);
+        ejected = wait_until(seconds(10), is_ejected).then(|| started.elapsed());
+    });
+    println!("ejected after {ejected:?}");
+    assert!(ejected.is_some_and(|after| after < seconds(5)));
+}
--- a/xtask/src/slopes/wire.rs
+++ b/xtask/src/slopes/wire.rs
@@ -14,7 +14,7 @@
 use serde_json::{Value, json};
 use wire::{
     AnswerHead, BodyPart, Call, EndpointLoad, Frame, Head, HealthReply, HealthUpdate, Hello, Ping,
-    Pong, Probe, ProbeReport, Purpose, Table, Welcome,
+    Pong, Probe, ProbeReport, Purpose, Table, TokenAnswers, Welcome,
 };
 
 use super::config;
@@ -238,7 +238,8 @@
         sequence: SEQUENCE,
         result: TokenResult::Decided { granted, next_in },
     };
-    Frame::TokenAnswers((0..count).map(answer).collect())
+    let (answers, moved) = ((0..count).map(answer).collect(), Vec::new());
+    Frame::TokenAnswers(TokenAnswers { answers, moved })
 }
 
 fn health_update(reported: Option<usize>, endpoints: usize) -> HealthUpdate {
@@ -276,7 +277,8 @@
         sequence: SEQUENCE,
         entries: (0..count).map(entry).collect(),
     });
-    Frame::HealthReply(Box::new(HealthReply { list, probes: Vec::<Probe>::new() }))
+    let (probes, moved) = (Vec::<Probe>::new(), None);
+    Frame::HealthReply(Box::new(HealthReply { list, probes, moved }))
 }
 
 /// Headers of 30 bytes, name and value together.
