Know the load of the own endpoints, so that calls stay in their failure domain

Cause: answers and refusals of the own guard did not reach what the entry knows of loads, and heartbeats tell only of other nodes. Without a report the path penalty took 1 ms for the usual latency, so an own upstream that takes 10 ms counted as 10 times too slow after its first calls and got a penalty of several hundred milliseconds.

Ruled out: calls counted as in flight for ever (each end finds its start), and the wait expected from the mean use, which is the same for all candidates.

Conclusion: the entry takes the load of its own endpoints from each reply and every second. A path whose usual latency is not known is not judged by latency, and the usual latency is at least 5 ms, so that a trip to another domain does not count as a fault of the path.

--- a/crates/health/src/path.rs
+++ b/crates/health/src/path.rs
@@ -29,9 +29,10 @@
 /// for _ in 0..5 {
 ///     path.record_failure(Time::ZERO);
 /// }
-/// assert!(path.weight(Time::ZERO, Duration::from_millis(50)) < Weight::new(60));
+/// let expected = Some(Duration::from_millis(50));
+/// assert!(path.weight(Time::ZERO, expected) < Weight::new(60));
 /// let later = Time::ZERO + Duration::from_secs(30);
-/// assert_eq!(path.weight(later, Duration::from_millis(50)), Weight::FULL);
+/// assert_eq!(path.weight(later, expected), Weight::FULL);
 /// ```
 #[derive(Debug, Clone, Default)]
 pub struct PathPenalty {
@@ -55,15 +56,18 @@
         self.failures += 1.0;
     }
 
-    /// The weight at `now`; `expected` is the usual latency of the route.
-    pub fn weight(&self, now: Time, expected: Duration) -> Weight {
+    /// The weight at `now`; `expected` is the usual latency of the route. While that is not known, the
+    /// latency of the path tells nothing.
+    pub fn weight(&self, now: Time, expected: Option<Duration>) -> Weight {
         let keep = self.kept(now);
         let failures = self.failures * keep;
         let successes = self.successes * keep;
         let good = (successes + PRIOR_CALLS) / (failures + successes + PRIOR_CALLS);
-        let mean = (self.latency_sum * keep + expected.as_secs_f64() * PRIOR_CALLS)
-            / (successes + PRIOR_CALLS);
-        let slowness = mean / expected.as_secs_f64().max(1e-6);
+        let slowness = expected.map_or(1.0, |expected| {
+            let expected = expected.as_secs_f64().max(1e-6);
+            let sum = self.latency_sum * keep + expected * PRIOR_CALLS;
+            sum / (successes + PRIOR_CALLS) / expected
+        });
         let pace = if slowness > SLOW_FACTOR { SLOW_FACTOR / slowness } else { 1.0 };
         Weight::new((100.0 * good * pace).round().max(1.0) as u8)
     }
--- a/crates/node/src/attempts.rs
+++ b/crates/node/src/attempts.rs
@@ -18,7 +18,7 @@
     FenceResult, Idempotence, Next, PATIENCE, RetryBudget, Stage, WhenBusy, refusal_evidence,
 };
 use tokio::time::{Instant, timeout, timeout_at};
-use wire::{BodyPart, Call, Head, MAX_CHUNK_BYTES};
+use wire::{BodyPart, Call, EndpointLoad, Head, MAX_CHUNK_BYTES};
 
 use crate::entry::Trace;
 use crate::guard;
@@ -285,7 +285,12 @@
             let body = self.take_body();
             let reply = timeout_at(self.give_up_at(Duration::ZERO), guard::serve(node, call, body));
             let result = match reply.await {
-                Ok(reply) => from_reply(reply),
+                Ok(reply) => {
+                    // As for another node's endpoint. Without it the balancer would know no load of
+                    // the own endpoints, and the path penalty no usual service time.
+                    node.loads.update(load_of(&reply), node.now(), Duration::ZERO);
+                    from_reply(reply)
+                }
                 Err(_) => Err(AttemptEnd::Unknown { code: ResultCode::DeadlineAfterStart }),
             };
             return Made { attempt, start_by: self.deadline, place: Place::Local, result };
@@ -421,6 +426,14 @@
     }
 }
 
+fn load_of(reply: &CallReply) -> Option<&EndpointLoad> {
+    match reply {
+        CallReply::Answer { load, .. } => Some(load),
+        CallReply::Refused { load, .. } => load.as_ref(),
+        CallReply::Failed(_) => None,
+    }
+}
+
 fn from_reply(reply: CallReply) -> Result<CallAnswer, AttemptEnd> {
     match reply {
         CallReply::Answer { status, headers, body, load } => {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -111,6 +111,7 @@
     loops.spawn(health::exchange(Arc::clone(&node)));
     loops.spawn(health::arbitrate(Arc::clone(&node)));
     loops.spawn(view::refresh_gauges(Arc::clone(&node)));
+    loops.spawn(peers::follow_own_loads(Arc::clone(&node)));
 
     let (close, close_rx) = watch::channel(false);
     let entry = Arc::new(Entry::new(Arc::clone(&node)));
--- a/crates/node/src/loads.rs
+++ b/crates/node/src/loads.rs
@@ -18,6 +18,10 @@
 /// is worth waiting in.
 const MAX_PATH_PENALTY: Duration = Duration::from_millis(500);
 
+/// Least latency that a path is expected to have. A trip to another domain and back takes 2 to 3 ms,
+/// which a path must not be blamed for when the upstream answers faster than that.
+const MIN_EXPECTED: Duration = Duration::from_millis(5);
+
 /// Load and path of all endpoints that this entry has used or heard of.
 #[derive(Default)]
 pub(crate) struct Loads {
@@ -103,8 +107,8 @@
 impl Known {
     fn at(&self, now: Time) -> (Option<KnownLoad>, Duration) {
         let load = self.view.known(now);
-        let expected = load.map_or(Duration::ZERO, |load| load.report.mean_service);
-        let weight = self.path.weight(now, expected.max(Duration::from_millis(1)));
+        let expected = load.map(|load| load.report.mean_service.max(MIN_EXPECTED));
+        let weight = self.path.weight(now, expected);
         let lost = 100 - u32::from(weight.value());
         (load, MAX_PATH_PENALTY * lost / 100)
     }
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -13,8 +13,8 @@
 use payload::Payload;
 use peer::{ControlClient, ControlEvents, LinkError, PeerHandler, PeerInfo, Target};
 use routing::{FenceResult, GuardClock};
-use tokio::time::{Instant, sleep_until};
-use wire::{Call, FenceStatus, Frame, HandoverReply, Ping, Pong, Table, Welcome};
+use tokio::time::{Instant, sleep, sleep_until};
+use wire::{Call, EndpointLoad, FenceStatus, Frame, HandoverReply, Ping, Pong, Table, Welcome};
 
 use crate::shared::{Map, Node, Phase, lock, read, write};
 use crate::{guard, owners, sync};
@@ -415,12 +415,25 @@
     }
 }
 
+/// Load of the endpoints of this instance.
+fn own_loads(node: &Node) -> Vec<EndpointLoad> {
+    let own = lock(&node.announcements).table();
+    node.guard.loads(&own)
+}
+
+/// Takes the load of the own endpoints at the interval at which heartbeats report that of others.
+pub(crate) async fn follow_own_loads(node: Arc<Node>) {
+    loop {
+        node.loads.update(&own_loads(&node), node.now(), Duration::ZERO);
+        sleep(PING_INTERVAL).await;
+    }
+}
+
 fn pong(node: &Node, ping: &Ping) -> Frame {
     let now = node.now();
     let table_version = lock(&node.announcements).version();
     let age = lock(&node.relays).contact_age(now);
-    let own = lock(&node.announcements).table();
-    let loads = node.guard.loads(&own);
+    let loads = own_loads(node);
     let lease = lock(&node.lease);
     Frame::Pong(Pong {
         sequence: ping.sequence,
--- a/crates/zinniacross/tests/calls.rs
+++ b/crates/zinniacross/tests/calls.rs
@@ -172,6 +172,19 @@
     });
 }
 
+/// Guards against calls that leave the failure domain of their entry although its own endpoints are
+/// idle. The upstreams take longer than a trip to another domain, which must not count against them.
+#[test]
+fn idle_endpoints_of_the_own_domain_take_the_calls() {
+    let fleet = fleet(4, &Behaviour { service_ms: 20, ..Behaviour::default() }, 3000);
+    let before: Vec<u64> = fleet.upstreams.iter().map(|upstream| upstream.runs()).collect();
+    fleet.calls_while(&[0, 0], &plan("GET", 10), || thread::sleep(seconds(4)));
+    let runs = |index: usize| fleet.upstreams[index].runs() - before[index];
+    let (own, others) = (runs(0), runs(1) + runs(2));
+    println!("{own} calls at the own endpoint, {others} at others");
+    assert!(own > 20 * others.max(1));
+}
+
 /// Guards against a cut answer that looks complete, and against large bodies that are cut.
 #[test]
 fn cut_answers_are_seen_as_cut_and_large_bodies_arrive_whole() {
