Count answers of a route without a look at the members

Cause: each answered call went through the path of a retry decision, which locks the member list for the number of entries and may insert a budget. Both are of no use for a count: the budget exists since the call was counted. Ruled out: counting at the start of the call, before it is known whether it is answered. Before: two locks for each answer; after: one. Not measured. No decision changes.

--- a/crates/node/src/attempts.rs
+++ b/crates/node/src/attempts.rs
@@ -15,7 +15,7 @@
 use peer::{CallAnswer, CallError, CallReply, Target};
 use routing::{
     AttemptEnd, Balancer, Body, CallAttempts, CallKind, Candidate, Candidates, Choice, Evidence,
-    FenceResult, Idempotence, Next, PATIENCE, RetryBudget, Stage, WhenBusy, refusal_evidence,
+    FenceResult, Idempotence, Next, PATIENCE, Stage, WhenBusy, refusal_evidence,
 };
 use tokio::time::{Instant, timeout, timeout_at};
 use wire::{BodyPart, Call, EndpointLoad, Head, MAX_CHUNK_BYTES};
@@ -156,7 +156,7 @@
                     let end = match answer.status {
                         500.. => PathEnd::Failed,
                         _ => {
-                            self.with_budget(|budget| budget.count_answer(now));
+                            self.node.budgets.count_answer(self.route.name(), now);
                             PathEnd::Answered(now.since(started))
                         }
                     };
@@ -196,12 +196,9 @@
     fn next(&self, attempts: &mut CallAttempts, end: AttemptEnd) -> Next {
         let body = self.replayable();
         let now = self.node.now();
-        self.with_budget(|budget| attempts.next(end, body, budget, now))
-    }
-
-    fn with_budget<T>(&self, decide: impl FnOnce(&mut RetryBudget) -> T) -> T {
         let share = self.route.policy().retry_budget;
         let entries = self.node.peers.count() + 1;
+        let decide = |budget: &mut _| attempts.next(end, body, budget, now);
         self.node.budgets.with(self.route.name(), share, entries, decide)
     }
 
--- a/crates/node/src/retries.rs
+++ b/crates/node/src/retries.rs
@@ -25,6 +25,13 @@
         }
     }
 
+    /// Counts an answer. The route has a budget since its call was counted.
+    pub(crate) fn count_answer(&self, route: &str, now: Time) {
+        if let Some(budget) = lock(&self.budgets).get_mut(route) {
+            budget.count_answer(now);
+        }
+    }
+
     /// Runs a decision with the budget of a route.
     pub(crate) fn with<T>(
         &self,
