Find the arbiter of a service in one place of the process tests

Cause: calls.rs and floor.rs each worked the partition out and looked for its owner, one in the logs and one in the record. Ruled out: keeping the search of the logs, which depends on the wording of four messages. Before: two functions; after: Fleet::arbiter_of, by the record.

--- a/crates/zinniacross/tests/calls.rs
+++ b/crates/zinniacross/tests/calls.rs
@@ -319,20 +319,6 @@
     check_ejection(Behaviour { service_ms: 200, ..Behaviour::default() });
 }
 
-/// The node that arbitrates a service, by the logs.
-fn arbiter_of(fleet: &Fleet, service: &str) -> usize {
-    let hash = model::stable_hash(&[b"health", service.as_bytes()]);
-    let partition = format!("partition {} ", hash % u64::from(limits::PARTITIONS));
-    let holds = |node: &usize| {
-        let log = fleet.log(*node);
-        let last = |ends: [&str; 2]| {
-            ends.map(|end| log.rfind(&(partition.clone() + end))).into_iter().max()
-        };
-        last(["is owned", "was taken over"]) > last(["is lost", "was handed over"])
-    };
-    (0..fleet.nodes.len()).find(holds).expect("every partition has an owner")
-}
-
 /// Guards against ejections that end, and bad upstreams that stay in use, when the node that
 /// decides about them leaves.
 #[test]
@@ -348,7 +334,7 @@
     let slow = Behaviour { service_ms: 200, ..Behaviour::default() };
     // Nodes hand partitions over until 10 s after their start.
     thread::sleep(seconds(12));
-    let arbiter = arbiter_of(&fleet, "orders");
+    let arbiter = fleet.arbiter_of("orders");
     let entries: Vec<usize> = (0..3).filter(|node| *node != arbiter).collect();
     let is_ejected = |node: &usize, index: usize| {
         let log = fleet.log(*node);
--- a/crates/zinniacross/tests/common/mod.rs
+++ b/crates/zinniacross/tests/common/mod.rs
@@ -242,6 +242,18 @@
         self.store.read(&ObjectKey::new(kind, name)).unwrap()
     }
 
+    /// The node that arbitrates a service, by the record of its partition.
+    pub fn arbiter_of(&self, service: &str) -> usize {
+        let hash = model::stable_hash(&[b"health", service.as_bytes()]);
+        let id = (hash % u64::from(limits::PARTITIONS)).to_string();
+        let record = self.read(Kind::Partition, &id).and_then(|stored| stored.object);
+        let Some(Object::Partition(record)) = record else {
+            panic!("partition {id} has no owner");
+        };
+        let is_owner = |options: &NodeOptions| options.name == record.owner.as_str();
+        self.options.iter().position(is_owner).expect("the owner is a node of the fleet")
+    }
+
     /// Creates the route `/{service}` to a service. GET and HEAD are idempotent.
     pub fn route(&self, service: &str, access: &str, timeout_ms: u64) {
         let document = format!(
--- a/crates/zinniacross/tests/floor.rs
+++ b/crates/zinniacross/tests/floor.rs
@@ -9,7 +9,7 @@
 
 use common::watch::{Decided, Look, Names, decisions, unix_time};
 use common::{Caller, Connections, Done, Fleet, Plan, StopOnDrop, millis, seconds};
-use model::{EndpointState, Kind, Object, PartitionId};
+use model::{EndpointState, Kind};
 use standins::process::{Signal, wait_until};
 use standins::upstream::Behaviour;
 
@@ -262,7 +262,7 @@
 #[test]
 fn killed_owner_leaves_the_floor() {
     let scene = Scene::start(&[2; 9]);
-    let owner = owner(&scene.fleet);
+    let owner = scene.fleet.arbiter_of(SERVICE);
     let others = [(owner + 1) % 3, (owner + 2) % 3];
     let (mut held, mut killed_at) = (false, 0.0);
     let seen = scene.watch(|| {
@@ -286,15 +286,3 @@
     let mut later = seen.decisions.iter().filter(|decided| decided.at > killed_at);
     assert!(later.any(Decided::is_ejection), "the new arbiter ejected nothing");
 }
-
-/// The node that arbitrates the service.
-fn owner(fleet: &Fleet) -> usize {
-    let hash = model::stable_hash(&[b"health", SERVICE.as_bytes()]);
-    let id = PartitionId((hash % u64::from(limits::PARTITIONS)) as u16);
-    let Some(Object::Partition(record)) =
-        fleet.read(Kind::Partition, &id.to_string()).unwrap().object
-    else {
-        panic!("partition {id} has no owner");
-    };
-    record.owner.as_str().strip_prefix("node-").unwrap().parse().unwrap()
-}
