Avoid endpoints for a while whose node does not have them or says that they leave

Cause: an entry whose directory is behind the store offered each call again to endpoints that had left.

Ruled out: removing the endpoint from the directory at the refusal; a restarted node has its endpoint again with the next announcement, which the directory does not tell.

--- a/crates/node/src/attempts.rs
+++ b/crates/node/src/attempts.rs
@@ -152,6 +152,13 @@
                 self.suspects.push(entry.name.clone());
                 self.node.loads.suspect(&entry.name, now);
             }
+            AttemptEnd::Refused {
+                code: ResultCode::EndpointUnknown | ResultCode::EndpointLeaving,
+                evidence: Evidence::NotRun,
+            } => {
+                self.tried.push(entry.name.clone());
+                self.node.loads.absent(&entry.name, now);
+            }
             AttemptEnd::Busy => self.busy.push(entry.name.clone()),
             _ => self.tried.push(entry.name.clone()),
         }
--- a/crates/node/src/choice.rs
+++ b/crates/node/src/choice.rs
@@ -57,8 +57,8 @@
 
     fn candidate(&self, index: usize) -> Candidate<'_> {
         let entry = &self.entries[index];
-        let is_usable = entry.is_open() && self.selector.matches(&entry.labels);
         let known = self.loads.at(&entry.name, self.now);
+        let is_usable = entry.is_open() && self.selector.matches(&entry.labels) && !known.is_absent;
         let member = self.members.get(&*entry.node);
         let reach = member.map_or(Reach::Good, |peer| peer.reach(self.now));
         let is_avoided = known.is_suspect || reach == Reach::Bad;
--- a/crates/node/src/loads.rs
+++ b/crates/node/src/loads.rs
@@ -22,12 +22,13 @@
 /// domain and back takes 3 ms, and two nodes with a fifth of a core some milliseconds more.
 const EXPECTED_OVERHEAD: Duration = Duration::from_millis(20);
 
-/// Time for which an endpoint that has refused a call as suspect gets no other; doubles with each further
-/// refusal.
-const MIN_SUSPECT_TIME: Duration = Duration::from_millis(300);
+/// Time for which an endpoint whose guard has refused a call as suspect, leaving or unknown gets no other;
+/// doubles with each further refusal.
+const MIN_AVOID_TIME: Duration = Duration::from_millis(300);
 
-/// Longest such time. The endpoint gets a trial in it from any one of the entries.
-const MAX_SUSPECT_TIME: Duration = Duration::from_millis(1500);
+/// Longest such time. A suspect endpoint gets a trial in it from any one of the entries, and a restarted
+/// node learns of its endpoint from the next announcement.
+const MAX_AVOID_TIME: Duration = Duration::from_millis(1500);
 
 /// Load and path of all endpoints that this entry has used or heard of.
 #[derive(Default)]
@@ -39,12 +40,27 @@
 struct Known {
     view: LoadView,
     path: PathPenalty,
-    suspect_until: Time,
-    /// Refusals as suspect since the last answer.
-    suspect_refusals: u32,
+    suspect: Avoidance,
+    absent: Avoidance,
     touched: Time,
 }
 
+/// Until when an endpoint gets no calls, after refusals for one reason.
+#[derive(Default)]
+struct Avoidance {
+    until: Time,
+    /// Refusals since the last answer.
+    refusals: u32,
+}
+
+impl Avoidance {
+    fn refused(&mut self, now: Time) {
+        let pause = MIN_AVOID_TIME * 2_u32.pow(self.refusals.min(8));
+        self.until = now + pause.min(MAX_AVOID_TIME);
+        self.refusals += 1;
+    }
+}
+
 impl Loads {
     /// Takes the load that an answer or a refusal reports.
     pub(crate) fn update<'a>(&self, loads: impl IntoIterator<Item = &'a EndpointLoad>, now: Time) {
@@ -60,9 +76,16 @@
     pub(crate) fn suspect(&self, endpoint: &EndpointName, now: Time) {
         let mut endpoints = lock(&self.endpoints);
         let known = endpoints.entry(endpoint.clone()).or_default();
-        let pause = MIN_SUSPECT_TIME * 2_u32.pow(known.suspect_refusals.min(8));
-        known.suspect_until = now + pause.min(MAX_SUSPECT_TIME);
-        known.suspect_refusals += 1;
+        known.suspect.refused(now);
+        known.touched = now;
+    }
+
+    /// Notes that the node of an endpoint does not have it, or that it leaves. The directory tells so only
+    /// once the store has delivered the record of that node.
+    pub(crate) fn absent(&self, endpoint: &EndpointName, now: Time) {
+        let mut endpoints = lock(&self.endpoints);
+        let known = endpoints.entry(endpoint.clone()).or_default();
+        known.absent.refused(now);
         known.touched = now;
     }
 
@@ -83,7 +106,8 @@
         match end {
             PathEnd::Answered(overhead) => {
                 known.path.record_success(overhead, now);
-                known.suspect_refusals = 0;
+                known.suspect.refusals = 0;
+                known.absent.refusals = 0;
             }
             PathEnd::Failed => known.path.record_failure(now),
             PathEnd::Neutral => {}
@@ -125,6 +149,8 @@
     pub(crate) path_penalty: Duration,
     /// Whether its guard has lately held it for suspect.
     pub(crate) is_suspect: bool,
+    /// Whether its node has lately said that it does not have it, or that it leaves.
+    pub(crate) is_absent: bool,
 }
 
 impl Known {
@@ -134,7 +160,8 @@
         KnownEndpoint {
             load: self.view.known(now),
             path_penalty: MAX_PATH_PENALTY * lost / 100,
-            is_suspect: now < self.suspect_until,
+            is_suspect: now < self.suspect.until,
+            is_absent: now < self.absent.until,
         }
     }
 }
--- a/crates/node/tests/fleet/common/mod.rs
+++ b/crates/node/tests/fleet/common/mod.rs
@@ -3,6 +3,7 @@
 pub mod fleet;
 
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -16,6 +17,7 @@
 pub struct FakeStore {
     state: Mutex<State>,
     written: Condvar,
+    is_away: AtomicBool,
     /// Lines of the current session.
     pub session: Arc<Session>,
 }
@@ -27,6 +29,18 @@
 }
 
 impl FakeStore {
+    /// Refuses all calls of the nodes from now on.
+    pub fn go_away(&self) {
+        self.is_away.store(true, Ordering::SeqCst);
+    }
+
+    fn check_reachable(&self) -> Result<(), StoreError> {
+        match self.is_away.load(Ordering::SeqCst) {
+            true => Err(StoreError::Unavailable("the store is away".into())),
+            false => Ok(()),
+        }
+    }
+
     /// Writes an object as an operator does.
     pub fn put(&self, key: ObjectKey, object: Object) -> Revision {
         let current = self.read(&key).expect("reading from memory works");
@@ -39,12 +53,14 @@
 
 impl ObjectStore for FakeStore {
     fn list(&self) -> Result<Listing, StoreError> {
+        self.check_reachable()?;
         let state = lock(&self.state);
         let live = state.objects.values().filter(|stored| stored.object.is_some());
         Ok(Listing { revision: Revision(state.revision), objects: live.cloned().collect() })
     }
 
     fn watch(&self, since: Revision, wait: Duration) -> Result<Changes, StoreError> {
+        self.check_reachable()?;
         // Short, so that a test does not wait for threads that watch.
         let deadline = Instant::now() + wait.min(Duration::from_millis(200));
         let mut state = lock(&self.state);
@@ -60,6 +76,7 @@
     }
 
     fn read(&self, key: &ObjectKey) -> Result<Option<StoredObject>, StoreError> {
+        self.check_reachable()?;
         Ok(lock(&self.state).objects.get(key).cloned())
     }
 
@@ -70,6 +87,7 @@
         object: Option<&Object>,
         write_id: &WriteId,
     ) -> Result<Revision, StoreError> {
+        self.check_reachable()?;
         let mut state = lock(&self.state);
         let stored = state.objects.get(key).filter(|stored| stored.object.is_some());
         let current = stored.map(|stored| stored.revision);
