Serve calls first that can reach their goal, and end waits for a slot at half of the time

Cause: in a crowd calls were queued in order of arrival, so that most were answered after their goal, and calls of the lowest rank waited until their deadline.

Change: a route has a goal (--goal-ms; goalS of the users' platform), which goes with a call to its guard. Within a rank calls go first that can still reach it. A call that got no slot in half of its time is refused as not run.

Tests: admission/tests/goal.rs; two of its first three failed without the order by goal, the last without the end of waits. The protocol between nodes is version 4.

--- a/crates/admission/src/attempt.rs
+++ b/crates/admission/src/attempt.rs
@@ -21,6 +21,11 @@
     pub standing: Standing,
     /// Latest start, in the time of this guard.
     pub start_by: Time,
+    /// Latest end of a wait for a slot, not after `start_by`. A caller that is refused in time can turn
+    /// elsewhere.
+    pub queue_until: Time,
+    /// Time by which the answer should be there to be worth most, if the route has such a goal.
+    pub goal_by: Option<Time>,
     /// How long the attempt may wait for a slot.
     pub patience: Patience,
     /// Rank in the queue; 0 goes first.
--- a/crates/admission/src/guard.rs
+++ b/crates/admission/src/guard.rs
@@ -69,6 +69,8 @@
 ///     rate,
 ///     standing,
 ///     start_by,
+///     queue_until: start_by,
+///     goal_by: None,
 ///     patience,
 ///     priority: 0,
 ///     is_idempotent: true,
@@ -231,14 +233,14 @@
         (answer, Some(Verdict { attempt: id, decision }))
     }
 
-    /// Refuses queued attempts whose start-by deadline has passed and drops old records. To be
+    /// Refuses queued attempts that have waited for their longest time and drops old records. To be
     /// called at [`Guard::wakeup`] and at least once a second.
     pub fn tick(&mut self, now: Time, checks: &dyn Checks) -> Vec<Verdict> {
         let now = self.advance(now);
         let mut verdicts = Vec::new();
         let mut late = Vec::new();
         for queue in self.endpoints.values_mut() {
-            late.extend(queue.drain_queued(|attempt| attempt.start_by <= now));
+            late.extend(queue.drain_queued(|attempt| attempt.queue_until <= now));
             queue.prune(now);
         }
         for attempt in late {
@@ -252,9 +254,9 @@
         verdicts
     }
 
-    /// The next start-by deadline in the queues.
+    /// When the next queued attempt will have waited for its longest time.
     pub fn wakeup(&self) -> Option<Time> {
-        self.endpoints.values().filter_map(EndpointQueue::earliest_start_by).min()
+        self.endpoints.values().filter_map(EndpointQueue::earliest_queue_until).min()
     }
 
     /// Refuses new attempts from now on, and finishes the running and queued ones.
--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -53,6 +53,13 @@
     since: Time,
 }
 
+/// When a queued call goes; the least goes first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Order {
+    rank: u8,
+    misses_goal: bool,
+}
+
 #[derive(Debug, Default)]
 struct AccountShare {
     /// Charged service in microseconds, as of `charged_at`.
@@ -88,12 +95,6 @@
         self.charged_at = now;
     }
 
-    /// Queues a call behind those of its rank and of higher ones.
-    fn insert(&mut self, attempt: Attempt) {
-        let at = self.queue.partition_point(|other| other.priority <= attempt.priority);
-        self.queue.insert(at, attempt);
-    }
-
     fn is_idle(&self) -> bool {
         self.running.is_empty() && self.queue.is_empty()
     }
@@ -169,29 +170,45 @@
 
     /// Tells whether a call that would be queued now has enough time to wait and to end.
     pub(crate) fn has_time_to_wait(&self, attempt: &Attempt, now: Time) -> bool {
+        let order = self.order(attempt, now);
         let queued = self.accounts.values().flat_map(|share| &share.queue);
-        let queued = queued.filter(|other| other.priority <= attempt.priority).count() as u32;
+        let queued = queued.filter(|other| self.order(other, now) <= order).count() as u32;
         let wait = LoadReport { queued, ..self.load() }.expected_wait();
-        attempt.start_by.since(now) >= wait + self.least_time(attempt)
+        let has_time_to_run = attempt.start_by.since(now) >= wait + self.least_time(attempt);
+        has_time_to_run && attempt.queue_until.since(now) > wait
     }
 
     fn least_time(&self, attempt: &Attempt) -> Duration {
+        self.mean_time(attempt).mul_f64(LEAST_TIME_SHARE)
+    }
+
+    fn mean_time(&self, attempt: &Attempt) -> Duration {
         let mean = self.service_by_route.get(&attempt.route).copied().unwrap_or_default();
-        Duration::from_micros((mean * LEAST_TIME_SHARE) as u64)
+        Duration::from_micros(mean as u64)
     }
 
-    /// Queues a call. With a full queue, it takes the place of the last call of a lower rank. If there
-    /// is none, it takes that of the newest call of the account that would be ahead in service once
-    /// its queued calls have run, unless that is its own account. A backlog of one account can't keep
-    /// others out.
+    /// When a call goes. One that can't reach its goal any more waits for those of its rank that can:
+    /// with more calls than slots, serving in order of arrival would make all of them miss theirs.
+    fn order(&self, attempt: &Attempt, now: Time) -> Order {
+        let end = now + self.mean_time(attempt);
+        Order {
+            rank: attempt.priority,
+            misses_goal: attempt.goal_by.is_some_and(|goal_by| goal_by < end),
+        }
+    }
+
+    /// Queues a call. With a full queue, it takes the place of the last call that goes later by its rank
+    /// or its goal. If there is none, it takes that of the newest call of the account that would be ahead
+    /// in service once its queued calls have run, unless that is its own account. A backlog of one
+    /// account can't keep others out.
     pub(crate) fn enqueue(&mut self, attempt: Attempt, capacity: u32, now: Time) -> Enqueued {
         if self.queued < capacity {
-            self.activate(&attempt, now).insert(attempt);
+            self.activate(&attempt, now).queue.push_back(attempt);
             self.queued += 1;
             return Enqueued::Queued;
         }
-        if let Some(displaced) = self.take_lower_rank(attempt.priority) {
-            self.activate(&attempt, now).insert(attempt);
+        if let Some(displaced) = self.take_later(&attempt, now) {
+            self.activate(&attempt, now).queue.push_back(attempt);
             return Enqueued::Displaced(displaced);
         }
         let mean = self.mean_service;
@@ -209,37 +226,41 @@
         let Some(displaced) = most.and_then(|share| share.queue.pop_back()) else {
             return Enqueued::Full;
         };
-        self.activate(&attempt, now).insert(attempt);
+        self.activate(&attempt, now).queue.push_back(attempt);
         Enqueued::Displaced(displaced)
     }
 
-    /// Takes the newest call of the lowest rank, if that is below the given one.
-    fn take_lower_rank(&mut self, rank: u8) -> Option<Attempt> {
+    /// Takes the newest of the calls that go last, if these go later than the given one.
+    fn take_later(&mut self, attempt: &Attempt, now: Time) -> Option<Attempt> {
         let queued = self.accounts.values().flat_map(|share| &share.queue);
-        let lowest = queued.max_by_key(|attempt| (attempt.priority, attempt.id))?;
-        if lowest.priority <= rank {
+        let last = queued.max_by_key(|other| (self.order(other, now), other.id))?;
+        if self.order(last, now) <= self.order(attempt, now) {
             return None;
         }
-        let (id, account) = (lowest.id, lowest.account.clone());
+        let (id, account) = (last.id, last.account.clone());
         let share = self.accounts.get_mut(&account)?;
-        let at = share.queue.iter().position(|attempt| attempt.id == id)?;
+        let at = share.queue.iter().position(|other| other.id == id)?;
         share.queue.remove(at)
     }
 
-    /// Takes the oldest queued call of the account with the least service so far, of those whose
-    /// next call has the first rank.
+    /// Takes the first call in order. Of several, it is the oldest one of the account with the least
+    /// service so far.
     pub(crate) fn take_next(&mut self, now: Time) -> Option<Attempt> {
         let mean = self.mean_service;
-        let waiting = self.accounts.values_mut().filter(|share| !share.queue.is_empty());
-        let least = waiting.min_by(|a, b| {
-            let by_rank = a.queue[0].priority.cmp(&b.queue[0].priority);
-            let by_service =
-                by_rank.then_with(|| a.service(now, mean).total_cmp(&b.service(now, mean)));
-            // Ties follow the order of attempts, so that the choice doesn't depend on hashing.
-            by_service.then_with(|| a.queue[0].id.cmp(&b.queue[0].id))
-        })?;
-        self.queued -= 1;
-        least.queue.pop_front()
+        let first_of = |share: &AccountShare| {
+            let by_order = |attempt: &&Attempt| self.order(attempt, now);
+            let first = share.queue.iter().min_by_key(by_order)?;
+            Some((self.order(first, now), share.service(now, mean), first.id))
+        };
+        let waiting =
+            self.accounts.iter().filter_map(|(name, share)| Some((first_of(share)?, name)));
+        let ((_, _, id), account) =
+            waiting.min_by(|((a, a_served, a_id), _), ((b, b_served, b_id), _)| {
+                // Ties follow the order of attempts, so that the choice doesn't depend on hashing.
+                a.cmp(b).then(a_served.total_cmp(b_served)).then(a_id.cmp(b_id))
+            })?;
+        let account = account.clone();
+        self.remove_queued(id, &account)
     }
 
     pub(crate) fn remove_queued(
@@ -267,9 +288,9 @@
         drained
     }
 
-    pub(crate) fn earliest_start_by(&self) -> Option<Time> {
+    pub(crate) fn earliest_queue_until(&self) -> Option<Time> {
         let queued = self.accounts.values().flat_map(|share| &share.queue);
-        queued.map(|attempt| attempt.start_by).min()
+        queued.map(|attempt| attempt.queue_until).min()
     }
 
     /// Drops accounts without calls whose charge has decayed.
--- a/crates/admission/tests/attempts.rs
+++ b/crates/admission/tests/attempts.rs
@@ -222,6 +222,8 @@
                     rate: Rate::per_second(10),
                     standing: Standing::WithinRate,
                     start_by,
+                    queue_until: start_by,
+                    goal_by: None,
                     patience: Patience::UntilStartBy,
                     priority: 0,
                     is_idempotent: false,
--- /dev/null
+++ b/crates/admission/tests/goal.rs
@@ -0,0 +1,118 @@
+//! Goals of calls under overload.
+
+use std::time::Duration;
+
+use admission::{Attempt, Check, Decision, Guard, GuardLimits, Patience, Standing, Verdict};
+use model::{AttemptId, EndpointState, Incarnation, Rate, ResultCode, Slots, Time};
+
+fn ms(now: u64) -> Time {
+    Time::from_micros(now * 1000)
+}
+
+fn allow(_: &Attempt) -> Check {
+    Check::Allowed
+}
+
+fn id(sequence: u64) -> AttemptId {
+    AttemptId { entry: Incarnation(1), sequence }
+}
+
+/// A call whose answer should be there after `goal` milliseconds.
+fn attempt(sequence: u64, account: &str, priority: u8, goal: u64) -> Attempt {
+    Attempt {
+        id: id(sequence),
+        endpoint: "orders-1".parse().unwrap(),
+        route: "orders".parse().unwrap(),
+        account: Some(account.parse().unwrap()),
+        rate: Rate::per_second(10),
+        standing: Standing::WithinRate,
+        start_by: ms(10_000),
+        queue_until: ms(6500),
+        goal_by: Some(ms(goal)),
+        patience: Patience::UntilStartBy,
+        priority,
+        is_idempotent: false,
+        insists: false,
+    }
+}
+
+/// A guard with one slot, in which call 1 runs until `until`, after these calls were queued.
+fn started_after(queued: Vec<Attempt>, until: u64) -> Vec<u64> {
+    let limits = GuardLimits { queue_per_slot: 4, ..GuardLimits::default() };
+    let mut guard = Guard::new(limits);
+    let endpoint = "orders-1".parse().unwrap();
+    guard.announce(&endpoint, Slots(1), EndpointState::Ready, Time::ZERO, &allow);
+    guard.arrive(attempt(1, "acme", 0, 1000), Time::ZERO, &allow);
+    for (at, attempt) in queued.iter().enumerate() {
+        guard.arrive(attempt.clone(), ms(at as u64), &allow);
+    }
+    let mut running = 1;
+    let mut order = Vec::new();
+    let mut now = until;
+    loop {
+        let verdicts = guard.finish(id(running), ms(now), &allow);
+        let started = verdicts.iter().find(|verdict| verdict.decision == Decision::Start);
+        let Some(Verdict { attempt, .. }) = started else { return order };
+        running = attempt.sequence;
+        order.push(running);
+        now += 10;
+    }
+}
+
+/// Guards against an overload in which every call is answered too late, because those that have missed
+/// their goal already go first.
+#[test]
+fn calls_that_can_reach_their_goal_go_first() {
+    let queued = |goal| {
+        vec![
+            attempt(2, "acme", 0, goal),
+            attempt(3, "acme", 0, 2000),
+            attempt(4, "best", 0, goal),
+            attempt(5, "best", 0, 2000),
+        ]
+    };
+    assert_eq!(started_after(queued(1000), 300), [4, 5, 2, 3]);
+    assert_eq!(started_after(queued(200), 300), [5, 3, 4, 2]);
+}
+
+/// Guards against a goal that goes before the rank that operators have set.
+#[test]
+fn the_rank_goes_before_the_goal() {
+    let queued = vec![attempt(2, "acme", 1, 2000), attempt(3, "acme", 0, 200)];
+    assert_eq!(started_after(queued, 300), [3, 2]);
+}
+
+/// Guards against a full queue of calls that have missed their goal and keep others out.
+#[test]
+fn a_call_that_can_reach_its_goal_takes_the_place_of_one_that_can_not() {
+    let limits = GuardLimits { queue_per_slot: 1, ..GuardLimits::default() };
+    let mut guard = Guard::new(limits);
+    let endpoint = "orders-1".parse().unwrap();
+    guard.announce(&endpoint, Slots(1), EndpointState::Ready, Time::ZERO, &allow);
+    guard.arrive(attempt(1, "acme", 0, 1000), Time::ZERO, &allow);
+    guard.arrive(attempt(2, "acme", 0, 200), Time::ZERO, &allow);
+    let now = Time::ZERO + Duration::from_millis(300);
+    let verdicts = guard.arrive(attempt(3, "acme", 0, 1000), now, &allow);
+    let decisions: Vec<_> =
+        verdicts.iter().map(|verdict| (verdict.attempt.sequence, verdict.decision)).collect();
+    let refused = Decision::Refuse(ResultCode::QueueFull);
+    assert_eq!(decisions, [(3, Decision::Queued), (2, refused)]);
+}
+
+/// Guards against callers that learn only at their deadline that no slot has become free.
+#[test]
+fn a_queued_call_is_refused_in_time() {
+    let mut guard = Guard::new(GuardLimits::default());
+    let endpoint = "orders-1".parse().unwrap();
+    guard.announce(&endpoint, Slots(1), EndpointState::Ready, Time::ZERO, &allow);
+    guard.arrive(attempt(1, "acme", 0, 1000), Time::ZERO, &allow);
+    guard.arrive(attempt(2, "acme", 0, 1000), Time::ZERO, &allow);
+    assert_eq!(guard.wakeup(), Some(ms(6500)));
+    assert_eq!(guard.tick(ms(6499), &allow), []);
+    let decision = Decision::Refuse(ResultCode::DeadlineBeforeStart);
+    assert_eq!(guard.tick(ms(6500), &allow), [Verdict { attempt: id(2), decision }]);
+    // It would wait for longer than it may.
+    let verdicts = guard.arrive(attempt(3, "acme", 0, 1000), ms(6501), &allow);
+    let decision = Decision::Refuse(ResultCode::QueueFull);
+    assert_eq!(verdicts, [Verdict { attempt: id(3), decision }]);
+}
--- a/crates/admission/tests/guard.rs
+++ b/crates/admission/tests/guard.rs
@@ -42,6 +42,8 @@
         rate,
         standing,
         start_by,
+        queue_until: start_by,
+        goal_by: None,
         patience,
         priority: 0,
         is_idempotent: false,
--- a/crates/config/src/entry.rs
+++ b/crates/config/src/entry.rs
@@ -25,6 +25,8 @@
     pub access: Access,
     /// Time from the arrival of a request to its deadline, in milliseconds.
     pub timeout_ms: u64,
+    /// Time from the arrival of a request in which its answer is worth most, in milliseconds.
+    pub goal_ms: Option<u64>,
     /// Methods that may be run more than once.
     pub idempotent: Vec<Box<str>>,
     /// Retries allowed, as a share of the calls.
@@ -43,6 +45,11 @@
         Duration::from_millis(self.timeout_ms)
     }
 
+    /// Time from the arrival of a request in which its answer is worth most.
+    pub fn goal(&self) -> Option<Duration> {
+        self.goal_ms.map(Duration::from_millis)
+    }
+
     /// Tells whether a method may be run more than once.
     pub fn is_idempotent(&self, method: &str) -> bool {
         self.idempotent.iter().any(|name| &**name == method || &**name == ANY_METHOD)
@@ -57,6 +64,7 @@
             selector: self.selector.clone(),
             access: self.access,
             timeout_ms: self.timeout_ms,
+            goal_ms: self.goal_ms,
             idempotent: self.idempotent.clone(),
             retry_budget: self.retry_budget,
             floor: self.floor,
--- a/crates/config/src/replica.rs
+++ b/crates/config/src/replica.rs
@@ -339,6 +339,7 @@
             selector: route.selector,
             access: route.access,
             timeout_ms: route.timeout_ms,
+            goal_ms: route.goal_ms,
             idempotent: route.idempotent,
             retry_budget: route.retry_budget,
             floor: route.floor,
--- a/crates/model/src/object.rs
+++ b/crates/model/src/object.rs
@@ -147,6 +147,10 @@
     pub access: Access,
     /// Time from the arrival of a request to its deadline, in milliseconds.
     pub timeout_ms: u64,
+    /// Time from the arrival of a request in which its answer is worth most, in milliseconds; no such
+    /// time if absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub goal_ms: Option<u64>,
     /// Methods that may be run more than once.
     pub idempotent: Vec<Box<str>>,
     /// Retries allowed, as a share of the calls.
--- a/crates/node/src/attempts.rs
+++ b/crates/node/src/attempts.rs
@@ -43,6 +43,9 @@
     pub(crate) name: RouteName,
     pub(crate) idempotence: Idempotence,
     pub(crate) deadline: Time,
+    /// Latest end of a wait for a slot.
+    pub(crate) queue_until: Time,
+    pub(crate) goal_by: Option<Time>,
     pub(crate) account: Option<(AccountName, KeyId)>,
     pub(crate) over_rate: bool,
     pub(crate) priority: u8,
@@ -283,6 +286,8 @@
             route: self.name.clone(),
             account: self.account.clone(),
             start_by: self.deadline,
+            queue_until: self.queue_until,
+            goal_by: self.goal_by,
             patience: chosen.patience,
             over_rate: self.over_rate,
             idempotent: self.idempotence == Idempotence::Idempotent,
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -30,6 +30,11 @@
 /// Part of a call's time that it may wait for a rate limit token.
 const TOKEN_WAIT_SHARE: u32 = 10;
 
+/// Part of a call's time, in percent, that it may wait for a slot. What is left afterwards is about the
+/// work of a call, and lets the caller of a refused one turn elsewhere. The users' platform charges a
+/// refusal after three quarters of the time like a lost request.
+const QUEUE_PERCENT: u32 = 50;
+
 /// Serves callers.
 pub(crate) struct Entry {
     pub(crate) node: Arc<Node>,
@@ -164,6 +169,8 @@
         name,
         idempotence,
         deadline,
+        queue_until: trace.started + timeout * QUEUE_PERCENT / 100,
+        goal_by: route.policy().goal().map(|goal| trace.started + goal),
         over_rate: identity
             .as_ref()
             .is_some_and(|(account, ..)| node.limiter.is_over_rate(account, node.now())),
--- a/crates/node/src/guard.rs
+++ b/crates/node/src/guard.rs
@@ -278,6 +278,8 @@
         rate: account_rate(node, call),
         standing: if call.over_rate { Standing::OverRate } else { Standing::WithinRate },
         start_by: call.start_by,
+        queue_until: call.queue_until,
+        goal_by: call.goal_by,
         patience: call.patience.map_or(Patience::UntilStartBy, Patience::AtMost),
         priority: call.priority,
         is_idempotent: call.idempotent,
--- a/crates/node/tests/fleet/common/fleet.rs
+++ b/crates/node/tests/fleet/common/fleet.rs
@@ -99,6 +99,7 @@
             selector: Selector::default(),
             access,
             timeout_ms: 5000,
+            goal_ms: None,
             idempotent: vec!["GET".into()],
             retry_budget: Percent::new(20).unwrap(),
             floor: Percent::new(50).unwrap(),
--- a/crates/operator/src/commands/change.rs
+++ b/crates/operator/src/commands/change.rs
@@ -55,6 +55,7 @@
             selector: Default::default(),
             access: Access::Keyed,
             timeout_ms: DEFAULT_TIMEOUT_MS,
+            goal_ms: None,
             idempotent: SAFE_METHODS.map(Into::into).to_vec(),
             retry_budget: percent(DEFAULT_RETRY_BUDGET),
             floor: percent(DEFAULT_FLOOR),
@@ -347,6 +348,7 @@
     route.selector = fields.selector.unwrap_or_else(|| route.selector.clone());
     route.access = fields.access.unwrap_or(route.access);
     route.timeout_ms = fields.timeout_ms.unwrap_or(route.timeout_ms);
+    route.goal_ms = fields.goal_ms.or(route.goal_ms);
     if let Some(idempotent) = fields.idempotent {
         route.idempotent = idempotent;
     }
--- a/crates/operator/src/commands/mod.rs
+++ b/crates/operator/src/commands/mod.rs
@@ -130,6 +130,8 @@
     pub access: Option<model::Access>,
     /// Timeout in milliseconds.
     pub timeout_ms: Option<u64>,
+    /// Time in which an answer is worth most, in milliseconds.
+    pub goal_ms: Option<u64>,
     /// Methods that may be run more than once.
     pub idempotent: Option<Vec<Box<str>>>,
     /// Share of the calls that may be retried.
--- a/crates/operator/src/commands/parser.rs
+++ b/crates/operator/src/commands/parser.rs
@@ -191,6 +191,10 @@
         .help("Time from the arrival of a request to its deadline, in milliseconds")
         .argument::<u64>("MS")
         .optional();
+    let goal_ms = long("goal-ms")
+        .help("Time in which an answer is worth most, in milliseconds; such requests go first in queues")
+        .argument::<u64>("MS")
+        .optional();
     let idempotent = long("idempotent")
         .help("Methods that may be run more than once, such as GET,PUT; empty for none")
         .argument::<String>("METHODS")
@@ -210,6 +214,7 @@
         selector,
         access,
         timeout_ms,
+        goal_ms,
         idempotent,
         retry_budget,
         floor,
--- a/crates/peer/src/call_link.rs
+++ b/crates/peer/src/call_link.rs
@@ -107,9 +107,10 @@
 }
 
 impl DialedLink {
-    fn start_by(&self, deadline: Time) -> Time {
+    /// A time in the clock of the other process; that of the handshake if it is earlier.
+    fn to_their_time(&self, own: Time) -> Time {
         let (theirs, received) = self.clock;
-        theirs + deadline.since(received)
+        theirs + own.since(received)
     }
 
     /// Asks the other process for a sign of life, unless there was one lately.
@@ -155,7 +156,9 @@
         on_silence: impl FnOnce(Handed) -> F,
     ) -> Result<CallAnswer, CallError> {
         let mut dialed = self.link(addr).await.map_err(CallError::NotSent)?;
-        call.start_by = dialed.start_by(deadline);
+        call.start_by = dialed.to_their_time(deadline);
+        call.queue_until = dialed.to_their_time(call.queue_until);
+        call.goal_by = call.goal_by.map(|goal_by| dialed.to_their_time(goal_by));
         let handed = Handed { attempt: call.attempt, to: dialed.to, start_by: call.start_by };
         let mut body_done = call.body.last;
         // Once the frame is handed to the connection, an error no longer proves that the receiver
--- a/crates/peer/tests/links.rs
+++ b/crates/peer/tests/links.rs
@@ -147,6 +147,8 @@
         route: "a".parse().unwrap(),
         account: None,
         start_by: Time::from_micros(2),
+        queue_until: Time::from_micros(2),
+        goal_by: None,
         patience: None,
         over_rate: false,
         idempotent: false,
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -111,6 +111,10 @@
     pub account: Option<(AccountName, KeyId)>,
     /// Latest start, in the receiver's time.
     pub start_by: Time,
+    /// Latest end of a wait for a slot, in the receiver's time.
+    pub queue_until: Time,
+    /// Time by which the answer should be there to be worth most, in the receiver's time.
+    pub goal_by: Option<Time>,
     /// Longest expected wait for a slot that the entry accepts; none if it waits until `start_by`.
     pub patience: Option<Duration>,
     /// Whether the entry has lately refused calls of the account for its rate.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -15,7 +15,7 @@
 };
 
 /// Version of the protocol. A node refuses a link with another version.
-pub const PROTOCOL_VERSION: u16 = 3;
+pub const PROTOCOL_VERSION: u16 = 4;
 
 /// Largest frame, in bytes. Transfers and bodies are cut well below it; the rest is room for one
 /// large object and for the head of a request.
--- a/crates/zinniacross/src/main.rs
+++ b/crates/zinniacross/src/main.rs
@@ -20,7 +20,7 @@
 #[derive(Debug, Clone)]
 enum Command {
     Node { settings: Option<PathBuf> },
-    Operator(commands::Command),
+    Operator(Box<commands::Command>),
 }
 
 fn main() -> ExitCode {
@@ -64,7 +64,7 @@
         .to_options()
         .descr("Run the node process of an instance")
         .command("node");
-    let operator = commands::parser().map(Command::Operator);
+    let operator = commands::parser().map(|command| Command::Operator(Box::new(command)));
     construct!([node, operator])
         .to_options()
         .descr("Proxy fleet for upstreams with gray failures")
--- a/xtask/src/slopes/config.rs
+++ b/xtask/src/slopes/config.rs
@@ -257,6 +257,7 @@
         selector: "tier=gold".parse().expect("the selector is valid"),
         access: Access::Keyed,
         timeout_ms: 2000,
+        goal_ms: None,
         idempotent: vec!["GET".into(), "HEAD".into(), "PUT".into()],
         retry_budget: Percent::new(20).expect("at most 100"),
         floor: Percent::new(60).expect("at most 100"),
--- a/xtask/src/slopes/routing.rs
+++ b/xtask/src/slopes/routing.rs
@@ -123,6 +123,8 @@
         rate: Rate::per_second(10),
         standing: Standing::WithinRate,
         start_by: Time::ZERO + START_BY,
+        queue_until: Time::ZERO + START_BY,
+        goal_by: None,
         patience: Patience::UntilStartBy,
         priority: 0,
         is_idempotent: false,
--- a/xtask/src/slopes/wire.rs
+++ b/xtask/src/slopes/wire.rs
@@ -221,6 +221,8 @@
         route: name("route-0"),
         account: Some((name("account-17"), name("0123456789abcdef"))),
         start_by: CLOCK,
+        queue_until: CLOCK,
+        goal_by: Some(CLOCK),
         patience: Some(Duration::from_millis(150)),
         over_rate: false,
         idempotent: true,
