Watch less often, and write a node record again only if it was removed

Change: pauses before the next watch of 1 to 4 s for records and 0.1 to 0.5 s for the configuration; other nodes bring changes in the meantime. A written record is awaited until the replica has come to its revision.

No test of its own: the number of writes depends on how watches fall.

--- a/crates/node/src/node_record.rs
+++ b/crates/node/src/node_record.rs
@@ -6,9 +6,9 @@
 
 use log::{info, warn};
 use membership::owner_of;
-use model::{Kind, NodeName, Object, ObjectKey, PartitionId, Revision, stable_hash};
+use model::{Kind, NodeName, Object, ObjectKey, PartitionId, Revision, Time, stable_hash};
 use store::{Precondition, StoreError, fresh_write_id, write_resolved};
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, timeout, timeout_at};
 
 use crate::peers::{Peer, displaced_members};
 use crate::shared::{Node, Phase, lock, read};
@@ -17,8 +17,8 @@
 /// Time within which the own node record must be written before it is tried again.
 const REGISTER_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// Time for the own watch to show a record that was written, with the pause before the watch.
-const RECORD_SHOWN_WITHIN: Duration = Duration::from_millis(2000);
+/// Time for the own watch to show a record that was written, with the longest pause before the watch.
+const RECORD_SHOWN_WITHIN: Duration = Duration::from_secs(5);
 
 /// Longest wait of the first node record for an endpoint, which announces itself about each second.
 const FIRST_RECORD_WAIT: Duration = Duration::from_millis(1800);
@@ -34,6 +34,7 @@
 pub(crate) async fn register(node: Arc<Node>) {
     // A timeout only means that no endpoint has announced itself yet.
     let _ = timeout(FIRST_RECORD_WAIT, node.record_changed.notified()).await;
+    let mut written: Option<Written> = None;
     loop {
         if node.phase() != Phase::Serving {
             return;
@@ -42,11 +43,17 @@
             node.record_changed.notified().await;
             continue;
         }
-        match write_record(&node).await {
+        let record = own_record(&node);
+        if let Some(shown_by) = written.as_ref().and_then(|last| last.awaited(&node, &record)) {
+            let changed = node.record_changed.notified();
+            let _ = timeout_at(node.clock.instant(shown_by), changed).await;
+            continue;
+        }
+        match write_record(&node, record.clone()).await {
             Ok(revision) => {
                 info!("node record written at revision {revision}");
-                // The watch shows the record; until then it would be written again.
-                let _ = timeout(RECORD_SHOWN_WITHIN, node.record_changed.notified()).await;
+                let shown_by = node.now() + RECORD_SHOWN_WITHIN;
+                written = Some(Written { record, revision, shown_by });
             }
             Err(err) => {
                 warn!("writing the node record failed: {err}");
@@ -56,6 +63,24 @@
     }
 }
 
+/// The last record that was written.
+struct Written {
+    record: model::NodeRecord,
+    revision: Revision,
+    /// When it is written again if the own replica has not come to its revision.
+    shown_by: Time,
+}
+
+impl Written {
+    /// Until when the replica is awaited to show this record, if it is the current one. A replica that is
+    /// further and does not hold it shows that somebody has removed it.
+    fn awaited(&self, node: &Node, current: &model::NodeRecord) -> Option<Time> {
+        let is_behind = read(&node.config).objects.revision() < self.revision;
+        let is_awaited = is_behind && self.record == *current && node.now() < self.shown_by;
+        is_awaited.then_some(self.shown_by)
+    }
+}
+
 pub(crate) fn is_registered(node: &Node) -> bool {
     let own = own_record(node);
     let config = read(&node.config);
@@ -80,10 +105,10 @@
     }
 }
 
-async fn write_record(node: &Arc<Node>) -> Result<Revision, StoreError> {
+async fn write_record(node: &Arc<Node>, record: model::NodeRecord) -> Result<Revision, StoreError> {
     let store = Arc::clone(&node.interfaces.store);
     let key = node_key(&node.info().node);
-    let object = Object::Node(own_record(node));
+    let object = Object::Node(record);
     let known = read(&node.config).objects.member(&node.info().node).map(|entry| entry.revision());
     blocking(move || {
         let deadline = std::time::Instant::now() + REGISTER_TIMEOUT;
--- a/crates/node/src/sync.rs
+++ b/crates/node/src/sync.rs
@@ -27,11 +27,15 @@
 /// are node records and marks only. Changes come in groups, for example when many nodes start, and each
 /// watch is a call that is paid for. Nodes pause for different times: the first one that watches again
 /// brings a change to the others by its calls, which cost a tenth of a watch.
-const RECORDS_PAUSE: [Duration; 2] = [Duration::from_millis(300), Duration::from_millis(1500)];
+const RECORDS_PAUSE: [Duration; 2] = [Duration::from_millis(1000), Duration::from_millis(4000)];
 
 /// The same if the objects are also the configuration, which operators expect to be in force soon.
 const CONFIG_PAUSE: [Duration; 2] = [Duration::from_millis(50), Duration::from_millis(200)];
 
+/// The same between a change of the configuration that others write and the next watch. It has to be in
+/// force within 2 s, and a watch of a slow store takes 250 ms.
+const IMPORT_PAUSE: [Duration; 2] = [Duration::from_millis(100), Duration::from_millis(500)];
+
 /// Shortest pause after a failed call to the platform.
 const MIN_RETRY_PAUSE: Duration = Duration::from_millis(200);
 
@@ -117,10 +121,13 @@
             Ok(newer) => {
                 note_contact(&node);
                 if let Some(listing) = newer {
-                    let mut config = write(&node.config);
-                    let applied = config.imported.apply_listing(listing.revision, listing.objects);
-                    drop(config);
+                    let applied = {
+                        let mut config = write(&node.config);
+                        config.imported.apply_listing(listing.revision, listing.objects)
+                    };
                     finish_change(&node, Feed::Imported, applied, "platform");
+                    let [min, max] = IMPORT_PAUSE;
+                    sleep(random_between(min, max)).await;
                 }
             }
             // The next call lists again.
