Ask two busy endpoints in an overload before a call waits

Cause: in a crowd a call asked five busy endpoints in turn, mostly of other failure domains.

No test of its own: the choice is in the middle of an attempt, which the fleet tests exercise.

--- a/crates/node/src/choice.rs
+++ b/crates/node/src/choice.rs
@@ -19,6 +19,14 @@
 /// floor. Most routes aim at an answer in half of their time.
 const SHORT_WAIT_DIVISOR: u32 = 4;
 
+/// Part of its time, as a divisor, that a call is expected to wait at any endpoint in an overload. In a
+/// crowd four of five calls with a longer expected wait find no free slot.
+const OVERLOAD_DIVISOR: u32 = 10;
+
+/// Endpoints without a free slot that a call asks in an overload before it waits at one. Each further one
+/// is a wasted trip, mostly to another failure domain.
+const BUSY_IN_OVERLOAD: usize = 2;
+
 /// Where the next attempt goes.
 pub(crate) struct Chosen {
     pub(crate) choice: Choice,
@@ -97,6 +105,7 @@
             |(choice, entry), patience, insists| Some(Chosen { choice, entry, patience, insists });
         if attempts.when_suspect() == WhenSuspect::GoElsewhere
             && let Some(found) = self.choose_among(&avoided, Avoidance::Usual)
+            && (self.busy.len() < BUSY_IN_OVERLOAD || !self.is_overload(found.0.cost))
         {
             return chosen(found, patience, false);
         }
@@ -140,6 +149,11 @@
         !self.suspects.is_empty() && self.suspects.len() * 100 > entries * (100 - floor)
     }
 
+    /// Tells whether all endpoints are likely to be busy, by the least expected wait.
+    fn is_overload(&self, wait: Duration) -> bool {
+        wait > self.deadline.since(self.node.now()) / OVERLOAD_DIVISOR
+    }
+
     /// Tells whether a call can well wait for so long.
     fn is_short_wait(&self, wait: Duration) -> bool {
         wait < self.deadline.since(self.node.now()) / SHORT_WAIT_DIVISOR
