Leave full queues for others without the retry budget

The budget bounds work of upstreams, and such refusals cost them none.

Change: up to three queues for each call, without the budget and without counting as an attempt.

Tests: full_queues_are_left_without_the_budget failed first. Three tests took a full queue for an attempt at an upstream; they use UpstreamShed now, which is one, with the same steps and bounds, and the charge of full queues is replaced by the bound of three.

--- a/crates/routing/src/retry.rs
+++ b/crates/routing/src/retry.rs
@@ -15,6 +15,10 @@
 /// round trip of a refusal.
 const MAX_BUSY: u32 = 5;
 
+/// Queues of guards that a call tries when they refuse it as full, or after it has waited in vain. Nothing
+/// has reached an upstream, and a slot elsewhere may be free.
+const MAX_QUEUES: u32 = 3;
+
 /// Refusals by suspect endpoints after which a call looks for no other and insists. Each is a trip, and
 /// the next endpoint of a large service may be suspect as well.
 const MAX_SUSPECTS: u32 = 8;
@@ -154,7 +158,7 @@
 /// let kind = CallKind { idempotence, deadline, attempts: 3 };
 /// let mut attempts = CallAttempts::new(kind);
 /// let mut budget = RetryBudget::new(Percent::new(20).unwrap(), 1);
-/// let refused = AttemptEnd::Refused { code: ResultCode::QueueFull, evidence: Evidence::NotRun };
+/// let refused = AttemptEnd::Refused { code: ResultCode::UpstreamShed, evidence: Evidence::NotRun };
 /// let next = attempts.next(refused, Body::Replayable, &mut budget, Time::ZERO);
 /// assert_eq!(next, Next::RetryElsewhere);
 /// ```
@@ -167,6 +171,8 @@
     busy: u32,
     /// Refusals by guards whose endpoint is suspect.
     suspects: u32,
+    /// Refusals by guards in whose queue the call would have waited or has waited.
+    queues: u32,
     /// Other refusals before anything reached an endpoint.
     unsent: u32,
     /// Code of the first attempt that may have run. While there is one, no refusal of a later
@@ -184,6 +190,7 @@
             ended: 0,
             busy: 0,
             suspects: 0,
+            queues: 0,
             unsent: 0,
             may_have_run: None,
             fencing: None,
@@ -234,6 +241,16 @@
                     false => self.settle(ResultCode::QueueFull),
                 }
             }
+            AttemptEnd::Refused {
+                code: code @ (ResultCode::QueueFull | ResultCode::DeadlineBeforeStart),
+                evidence: Evidence::NotRun,
+            } => {
+                self.queues += 1;
+                match self.queues < MAX_QUEUES && self.has_attempt_left(body, now) {
+                    true => Next::RetryElsewhere,
+                    false => self.settle(code),
+                }
+            }
             // As for a busy guard, but a call that suspect endpoints have refused has not waited yet.
             AttemptEnd::Refused {
                 code: ResultCode::EndpointSuspect,
@@ -366,9 +383,7 @@
 fn is_worth_retrying(code: ResultCode) -> bool {
     matches!(
         code,
-        ResultCode::QueueFull
-            | ResultCode::DeadlineBeforeStart
-            | ResultCode::Superseded
+        ResultCode::Superseded
             | ResultCode::NotSynced
             | ResultCode::Stopping
             | ResultCode::ConnectFailed
@@ -382,8 +397,7 @@
 }
 
 /// Tells whether an attempt that was refused with this code has certainly put no load on an
-/// upstream, because the endpoint or its node can't be reached or takes no calls. Refusals for lack
-/// of slots or time are not among them, since a retry would move the overload to other endpoints.
+/// upstream, because the endpoint or its node can't be reached or takes no calls.
 fn costs_no_upstream(code: ResultCode) -> bool {
     matches!(
         code,
