--- a/crates/routing/tests/calls.rs
+++ b/crates/routing/tests/calls.rs
@@ -5,7 +5,7 @@
 use proptest::test_runner::RngSeed;
 use routing::{
     AttemptEnd, Body, CallAttempts, CallKind, Evidence, FenceResult, FreeRetries, Grant,
-    Idempotence, Next, RandomSource, SplitMix64, WhenBusy, WhenSuspect, refusal_evidence,
+    Idempotence, Next, WhenBusy, WhenSuspect, refusal_evidence,
 };
 
 const NOT_RUN: AttemptEnd =
