--- a/crates/wire/src/encoding.rs
+++ b/crates/wire/src/encoding.rs
@@ -14,9 +14,9 @@
 use serde::{Deserialize, Serialize};
 use serde_bytes::ByteBuf;
 
+use crate::call::WireCall;
 use crate::frame::{
-    AnswerHead, BodyPart, Call, EndpointLoad, FenceStatus, Frame, Head, Header, Hello, Purpose,
-    Welcome,
+    AnswerHead, BodyPart, Call, EndpointLoad, FenceStatus, Frame, Header, Hello, Purpose, Welcome,
 };
 use crate::tokens::{self, WireTokenAnswer, WireTokenRequest};
 use crate::{MAX_CHUNK_BYTES, MAX_FRAME_BYTES};
@@ -82,11 +82,11 @@
 const MAX_NESTING: usize = 16;
 
 type WireLoad = (String, u32, u32, u32, u64);
-type WireRevisions = (u64, u64);
-type WireHeader = (String, ByteBuf);
-type WireHead = (String, String, Vec<WireHeader>);
-type WireAttempt = (u64, u64);
-type WireBody = (ByteBuf, bool);
+pub(crate) type WireRevisions = (u64, u64);
+pub(crate) type WireHeader = (String, ByteBuf);
+pub(crate) type WireHead = (String, String, Vec<WireHeader>);
+pub(crate) type WireAttempt = (u64, u64);
+pub(crate) type WireBody = (ByteBuf, bool);
 type WireObject = (String, String, u64, String, Option<ByteBuf>);
 
 /// The variants are renamed to one or two letters, since a name would be a large part of a token
@@ -133,32 +133,6 @@
     TokenAnswers(Vec<WireTokenAnswer>),
 }
 
-#[derive(Debug, Serialize, Deserialize)]
-struct WireCall(
-    WireAttempt,
-    String,
-    String,
-    String,
-    Option<(String, String)>,
-    u64,
-    u64,
-    Option<u64>,
-    Option<u64>,
-    u8,
-    u8,
-    u8,
-    Option<String>,
-    WireRevisions,
-    WireHead,
-    WireBody,
-);
-
-/// Bits of the flags of a call.
-const OVER_RATE: u8 = 1;
-const IDEMPOTENT: u8 = 2;
-const INSISTS: u8 = 4;
-const RETRY: u8 = 8;
-
 impl From<&Frame> for WireFrame {
     fn from(frame: &Frame) -> WireFrame {
         match frame {
@@ -177,7 +151,7 @@
             Frame::PullMore => WireFrame::PullMore,
             Frame::Objects(feed, transfer) => transfer_to_wire(*feed, transfer),
             Frame::Done => WireFrame::Done,
-            Frame::Call(call) => WireFrame::Call(Box::new(call_to_wire(call))),
+            Frame::Call(call) => WireFrame::Call(Box::new(call.as_ref().into())),
             Frame::CallBody(part) => WireFrame::CallBody(body_to_wire(part)),
             Frame::Refused { attempt, code, load, revisions } => WireFrame::Refused(
                 attempt_to_wire(attempt),
@@ -259,7 +233,7 @@
                 Frame::Objects(feed_from_wire(feed)?, transfer)
             }
             WireFrame::Done => Frame::Done,
-            WireFrame::Call(call) => Frame::Call(Box::new(call_from_wire(*call)?)),
+            WireFrame::Call(call) => Frame::Call(Box::new(Call::try_from(*call)?)),
             WireFrame::CallBody(part) => Frame::CallBody(body_from_wire(part)?),
             WireFrame::Refused(attempt, number, load, revisions) => Frame::Refused {
                 attempt: attempt_from_wire(attempt),
@@ -341,11 +315,11 @@
     }
 }
 
-fn revisions_to_wire(revisions: Revisions) -> WireRevisions {
+pub(crate) fn revisions_to_wire(revisions: Revisions) -> WireRevisions {
     (revisions.objects.0, revisions.imported.0)
 }
 
-fn revisions_from_wire((objects, imported): WireRevisions) -> Revisions {
+pub(crate) fn revisions_from_wire((objects, imported): WireRevisions) -> Revisions {
     Revisions { objects: Revision(objects), imported: Revision(imported) }
 }
 
@@ -395,107 +369,25 @@
     Ok(StoredObject { key, revision: Revision(revision), write_id: id(write_id)?, object })
 }
 
-fn call_to_wire(call: &Call) -> WireCall {
-    let account = call.account.as_ref();
-    WireCall(
-        attempt_to_wire(&call.attempt),
-        call.request.to_string(),
-        call.endpoint.to_string(),
-        call.route.to_string(),
-        account.map(|(account, key)| (account.to_string(), key.to_string())),
-        call.start_by.as_micros(),
-        call.queue_until.as_micros(),
-        call.goal_by.map(|goal_by| goal_by.as_micros()),
-        call.patience.map(|patience| patience.as_micros() as u64),
-        call_flags(call),
-        call.priority,
-        call.of_retry.value(),
-        call.caller_service.as_ref().map(ToString::to_string),
-        revisions_to_wire(call.revisions),
-        (
-            call.head.method.to_string(),
-            call.head.target.to_string(),
-            headers_to_wire(&call.head.headers),
-        ),
-        body_to_wire(&call.body),
-    )
-}
-
-fn call_flags(call: &Call) -> u8 {
-    let flag = |set: bool, bit: u8| if set { bit } else { 0 };
-    flag(call.over_rate, OVER_RATE)
-        | flag(call.idempotent, IDEMPOTENT)
-        | flag(call.insists, INSISTS)
-        | flag(call.retry, RETRY)
-}
-
-fn call_from_wire(call: WireCall) -> Result<Call, DecodeError> {
-    let WireCall(
-        attempt,
-        request,
-        endpoint,
-        route,
-        account,
-        start_by,
-        queue_until,
-        goal_by,
-        patience,
-        flags,
-        priority,
-        of_retry,
-        caller_service,
-        revisions,
-        head,
-        body,
-    ) = call;
-    let account =
-        account.map(|(account, key)| Ok::<_, DecodeError>((id(account)?, id(key)?))).transpose()?;
-    Ok(Call {
-        attempt: attempt_from_wire(attempt),
-        request: id(request)?,
-        endpoint: id(endpoint)?,
-        route: id(route)?,
-        account,
-        start_by: Time::from_micros(start_by),
-        queue_until: Time::from_micros(queue_until),
-        goal_by: goal_by.map(Time::from_micros),
-        patience: patience.map(Duration::from_micros),
-        over_rate: flags & OVER_RATE != 0,
-        idempotent: flags & IDEMPOTENT != 0,
-        insists: flags & INSISTS != 0,
-        retry: flags & RETRY != 0,
-        of_retry: model::Percent::new(of_retry).unwrap_or_default(),
-        priority,
-        caller_service: caller_service.map(id).transpose()?,
-        revisions: revisions_from_wire(revisions),
-        head: Head {
-            method: head.0.into(),
-            target: head.1.into(),
-            headers: headers_from_wire(head.2),
-        },
-        body: body_from_wire(body)?,
-    })
-}
-
-fn headers_to_wire(headers: &[Header]) -> Vec<WireHeader> {
+pub(crate) fn headers_to_wire(headers: &[Header]) -> Vec<WireHeader> {
     headers
         .iter()
         .map(|header| (header.name.to_string(), ByteBuf::from(header.value.clone())))
         .collect()
 }
 
-fn headers_from_wire(headers: Vec<WireHeader>) -> Vec<Header> {
+pub(crate) fn headers_from_wire(headers: Vec<WireHeader>) -> Vec<Header> {
     headers
         .into_iter()
         .map(|(name, value)| Header { name: name.into(), value: value.into_vec() })
         .collect()
 }
 
-fn body_to_wire(part: &BodyPart) -> WireBody {
+pub(crate) fn body_to_wire(part: &BodyPart) -> WireBody {
     (ByteBuf::from(part.bytes.clone()), part.last)
 }
 
-fn body_from_wire((bytes, last): WireBody) -> Result<BodyPart, DecodeError> {
+pub(crate) fn body_from_wire((bytes, last): WireBody) -> Result<BodyPart, DecodeError> {
     if bytes.len() > MAX_CHUNK_BYTES {
         let reason = format!("a chunk of {} bytes", bytes.len()).into();
         return Err(DecodeError { code: ResultCode::FrameTooLarge, reason });
@@ -503,11 +395,11 @@
     Ok(BodyPart { bytes: bytes.into_vec(), last })
 }
 
-fn attempt_to_wire(attempt: &AttemptId) -> WireAttempt {
+pub(crate) fn attempt_to_wire(attempt: &AttemptId) -> WireAttempt {
     (attempt.entry.0, attempt.sequence)
 }
 
-fn attempt_from_wire((entry, sequence): WireAttempt) -> AttemptId {
+pub(crate) fn attempt_from_wire((entry, sequence): WireAttempt) -> AttemptId {
     AttemptId { entry: Incarnation(entry), sequence }
 }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -4,6 +4,7 @@
 //! CBOR stores as short arrays; the conversion between the two checks every field, so that bytes
 //! from the network reach the rest of the program only as valid values.
 
+mod call;
 mod encoding;
 mod frame;
 mod tokens;
