--- a/crates/model/src/result_code.rs
+++ b/crates/model/src/result_code.rs
@@ -72,7 +72,7 @@
     1007 503 LimiterUnavailable "No owner of the account's rate answered in time.",
     1008 503 NoUpstream "No healthy upstream matches the route.",
     1009 503 QueueFull "Every tried upstream had a full queue.",
-    1010 503 DeadlineBeforeStart "The deadline passed before the request started to run.",
+    1010 503 DeadlineBeforeStart "The request waited for a slot for as long as it may, or its deadline passed before it started to run.",
     1011 503 EndpointSuspect "The upstream has failed its latest calls and takes only calls that may be repeated.",
     1012 503 NotSynced "This node has no confirmed configuration yet.",
     1013 503 Stopping "This node is stopping.",
--- a/crates/node/src/call_log.rs
+++ b/crates/node/src/call_log.rs
@@ -22,6 +22,11 @@
     route: RouteName,
     is_idempotent: bool,
     insists: bool,
+    is_retry: bool,
+    /// Time to the goal of the route, if it has one; nothing if that has passed.
+    goal: Option<Duration>,
+    /// Time that the call may wait for a slot.
+    may_wait: Duration,
     /// Time that the entry left for the call to start in.
     left: Duration,
     /// Revisions by which the entry decided.
@@ -41,6 +46,9 @@
             route: call.route.clone(),
             is_idempotent: call.idempotent,
             insists: call.insists,
+            is_retry: call.retry,
+            goal: call.goal_by.map(|goal_by| goal_by.since(arrived)),
+            may_wait: call.queue_until.since(arrived),
             left: call.start_by.since(arrived),
             entry_revisions: call.revisions,
             end: "the entry went away".into(),
@@ -68,6 +76,9 @@
             "route": self.route.as_str(),
             "idempotent": self.is_idempotent,
             "insists": self.insists,
+            "retry": self.is_retry,
+            "goal_ms": self.goal.map(|goal| goal.as_millis() as u64),
+            "may_wait_ms": self.may_wait.as_millis() as u64,
             "left_ms": self.left.as_millis() as u64,
             "config": read(&self.node.config).revisions().to_string(),
             "entry_config": self.entry_revisions.to_string(),
