--- a/crates/admission/src/retries.rs
+++ b/crates/admission/src/retries.rs
@@ -8,6 +8,10 @@
 /// Time in which the retries of a service are bounded. The users' platform counts them over 10 s.
 const WINDOW: Duration = Duration::from_secs(10);
 
+/// Time of the window that counts as passed when an endpoint is new. It may stand in for another one whose
+/// part was used up lately, but needs some retries at once, as nothing is known of the endpoints then.
+const HEAD_START: Duration = Duration::from_secs(5);
+
 /// Length of the steps in which calls and retries are counted.
 const STEP: Duration = Duration::from_millis(250);
 
@@ -49,8 +53,7 @@
 /// these bounds add up to one for the service, however many entries there are.
 #[derive(Debug)]
 pub(crate) struct RetryWindow {
-    /// The spare retries grow from here on, as the endpoint may stand in for another one whose part was
-    /// used up lately.
+    /// The spare retries grow from here on.
     opened: Time,
     steps: VecDeque<Step>,
 }
@@ -63,7 +66,7 @@
     /// Whether a further retry stays within the bound.
     pub(crate) fn has_room(&mut self, allowance: RetryAllowance, now: Time) -> bool {
         self.current(now);
-        let known = now.since(self.opened).min(WINDOW);
+        let known = (now.since(self.opened) + HEAD_START).min(WINDOW);
         let spare = u64::from(allowance.spare_milli) * (RETRY / 1000);
         let spare = spare * known.as_millis() as u64 / WINDOW.as_millis() as u64;
         let earned: u64 = self.steps.iter().map(|step| step.earned).sum();
--- a/crates/admission/tests/retries.rs
+++ b/crates/admission/tests/retries.rs
@@ -105,6 +105,17 @@
     assert!((72..=81).contains(&granted), "{granted} retries");
 }
 
+/// Guards against nodes that retry nothing in the seconds after all of them were started again, when calls
+/// meet endpoints of which nothing is known yet.
+#[test]
+fn a_new_guard_takes_half_of_its_spare_retries_at_once() {
+    let mut service = Service::start(8);
+    let granted = (0..80).filter(|call| service.retry(call % 8, 0)).count();
+    assert_eq!(granted, 24);
+    let granted = (0..80).filter(|call| service.retry(call % 8, 10_000)).count();
+    assert_eq!(granted, 24, "48 in 10 s");
+}
+
 /// Guards against calls that follow from retries at another service and are not counted there.
 #[test]
 fn calls_that_follow_from_retries_count_as_retries() {
--- a/crates/node/src/loads.rs
+++ b/crates/node/src/loads.rs
@@ -40,20 +40,20 @@
 struct Known {
     view: LoadView,
     path: PathPenalty,
-    suspect: Avoidance,
-    absent: Avoidance,
+    suspect: Backoff,
+    absent: Backoff,
     touched: Time,
 }
 
 /// Until when an endpoint gets no calls, after refusals for one reason.
 #[derive(Default)]
-struct Avoidance {
+struct Backoff {
     until: Time,
     /// Refusals since the last answer.
     refusals: u32,
 }
 
-impl Avoidance {
+impl Backoff {
     fn refused(&mut self, now: Time) {
         let pause = MIN_AVOID_TIME * 2_u32.pow(self.refusals.min(8));
         self.until = now + pause.min(MAX_AVOID_TIME);
