Take fractional, large and absent bounds in settings

Cause: the settings template passes on bounds as the platform has them. The error did not say which value it had read.

Ruled out: rounding in the template, which has no arithmetic.

Before: tests/template.rs fails on the former code (a_node_starts_with_any_bounds, an_error_names_the_number_that_was_found). After: both pass. Only short numbers are shown in errors; the test that no secret is shown is unchanged and passes. The expected text of two errors in tests/settings.rs now contains the number that was found.

--- a/crates/node/src/guard.rs
+++ b/crates/node/src/guard.rs
@@ -371,8 +371,10 @@
     let service = lock(&node.announcements).endpoint(&call.endpoint).map(|e| e.service.clone());
     let endpoints =
         service.map_or(1, |service| read(&node.directory).endpoints_of(&service).len().max(1));
-    let spare = node.settings.upstream.spare_retries * ASSIGNED_SPARE_RETRIES_PERCENT * 10;
-    RetryLimit { share: share.unwrap_or_default(), spare_milli: spare / endpoints as u32 }
+    let spare = u64::from(node.settings.upstream.spare_retries);
+    let spare_milli = spare * u64::from(ASSIGNED_SPARE_RETRIES_PERCENT) * 10 / endpoints as u64;
+    let spare_milli = u32::try_from(spare_milli).unwrap_or(u32::MAX);
+    RetryLimit { share: share.unwrap_or_default(), spare_milli }
 }
 
 /// Rate of the client account of a call. Slots are shared in proportion to it.
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,7 +1,10 @@
 //! Settings of a node, parsed from an INI file and validated as a whole.
 //!
-//! All errors in a file are reported together, each with its line and a result code. Errors never
-//! contain a value from the file, because a misplaced value may be a secret.
+//! All errors in a file are reported together, each with its line and a result code. Errors contain
+//! no value from the file other than a short number, because a misplaced value may be a secret.
+//!
+//! An empty value of a setting with a default counts as absent. Templates that are filled in by a
+//! platform leave a value empty if the platform has none.
 //!
 //! | section | key | description | default |
 //! |---|---|---|---|
@@ -57,10 +60,13 @@
 const MAX_BODY_SIZE: ByteSize = ByteSize(1 << 30);
 
 /// Upper limit of all settings that are a duration.
-const MAX_DURATION: Duration = Duration::from_secs(3600);
+const MAX_DURATION: Duration = Duration::from_secs(24 * 3600);
+
+/// Lower limit of `node.stop_within`. Platforms express their grace time in fractions of a second.
+const MIN_STOP_TIMEOUT: Duration = Duration::from_millis(1);
 
-/// Upper limit of `upstream.spare_retries`.
-const MAX_SPARE_RETRIES: u32 = 100_000;
+/// Upper limit of `upstream.spare_retries`. Larger values are valid and are reduced to it.
+const MAX_SPARE_RETRIES: u32 = 1_000_000_000;
 
 /// Upper limit of `node.threads`.
 const MAX_THREADS: usize = 64;
@@ -241,9 +247,9 @@
         "",
         empty_as_none(from_str),
     );
-    let stop_expected = "a time from 1s to 3600s";
+    let stop_expected = "a time from 1ms to 86400s";
     let stop_within = reader.with_default("node", "stop_within", stop_expected, "610s", |text| {
-        let valid = Duration::from_secs(1)..=MAX_DURATION;
+        let valid = MIN_STOP_TIMEOUT..=MAX_DURATION;
         values::parse_duration(text).filter(|time| valid.contains(time))
     });
     let caller_listen = reader.required("caller", "listen", ADDRESS_EXPECTED, address);
@@ -252,14 +258,14 @@
     let peer = read_peer(reader, peer_listen);
     let upstream_listen =
         reader.with_default("upstream", "listen", ADDRESS_EXPECTED, "127.0.0.1:7071", address);
-    let ttl = reader.with_default("upstream", "ttl", "a time from 1s to 3600s", "3s", |text| {
+    let ttl = reader.with_default("upstream", "ttl", "a time from 1s to 86400s", "3s", |text| {
         let valid = Duration::from_secs(1)..=MAX_DURATION;
         values::parse_duration(text).filter(|time| valid.contains(time))
     });
-    let retries_expected = "a number from 0 to 100000";
+    let retries_expected = "a number of 0 or more";
     let spare_retries =
         reader.with_default("upstream", "spare_retries", retries_expected, "20", |text| {
-            text.parse().ok().filter(|number| *number <= MAX_SPARE_RETRIES)
+            values::parse_count(text).map(|number| number.min(MAX_SPARE_RETRIES))
         });
     let ready =
         reader.with_default("status", "ready", ADDRESS_EXPECTED, "", empty_as_none(address));
@@ -338,7 +344,7 @@
     let max_body = reader.with_default("caller", "max_body", body_expected, "64MB", |text| {
         ByteSize::parse(text).filter(|size| (ByteSize(1)..=MAX_BODY_SIZE).contains(size))
     });
-    let idle_expected = "a time from 100ms to 3600s";
+    let idle_expected = "a time from 100ms to 86400s";
     let idle_timeout =
         reader.with_default("caller", "idle_timeout", idle_expected, "60s", |text| {
             let valid = Duration::from_millis(100)..=MAX_DURATION;
--- a/crates/settings/src/reader.rs
+++ b/crates/settings/src/reader.rs
@@ -7,6 +7,7 @@
 use model::ResultCode;
 
 use crate::mistake::{Mistake, Mistakes};
+use crate::values::shown_value;
 
 /// All valid settings, as section and key.
 const KNOWN_SETTINGS: &[(&str, &str)] = &[
@@ -114,13 +115,15 @@
         };
         let value = parse(&entry.value);
         if value.is_none() {
-            let (line, detail) = (entry.line, format!("expected {expected}"));
+            let found = shown_value(&entry.value);
+            let found = found.map_or_else(String::new, |value| format!(", found {value}"));
+            let (line, detail) = (entry.line, format!("expected {expected}{found}"));
             self.report(Some(line), section, key, ResultCode::SettingInvalid, &detail);
         }
         value
     }
 
-    /// Parses a setting, or its default if the file does not set it.
+    /// Parses a setting, or its default if the file does not set it or leaves its value empty.
     pub fn with_default<T>(
         &mut self,
         section: &str,
@@ -129,7 +132,8 @@
         default: &str,
         parse: impl Fn(&str) -> Option<T>,
     ) -> Option<T> {
-        match self.contains(section, key) {
+        let entry = self.entries.get(&(section.into(), key.into()));
+        match entry.is_some_and(|entry| !entry.value.is_empty()) {
             true => self.required(section, key, expected, parse),
             false => parse(default),
         }
--- a/crates/settings/src/values.rs
+++ b/crates/settings/src/values.rs
@@ -110,18 +110,45 @@
     }
 }
 
-/// Parses a whole number with the unit ms, s or m.
+/// Parses a number of 0 or more, which may have a fraction, with the unit ms, s or m.
 pub(crate) fn parse_duration(text: &str) -> Option<Duration> {
-    let digits = text.bytes().take_while(u8::is_ascii_digit).count();
+    let digits = text.bytes().take_while(|b| b.is_ascii_digit() || *b == b'.').count();
     let (number, unit) = text.split_at(digits);
-    let number: u64 = number.parse().ok()?;
-    let millis = match unit.trim() {
-        "ms" => number,
-        "s" => number.checked_mul(1000)?,
-        "m" => number.checked_mul(60_000)?,
+    let seconds_per_unit = match unit.trim() {
+        "ms" => 0.001,
+        "s" => 1.0,
+        "m" => 60.0,
         _ => return None,
     };
-    Some(Duration::from_millis(millis))
+    let millis = (parse_number(number)? * seconds_per_unit * 1000.0).round();
+    Some(Duration::from_millis(millis as u64))
+}
+
+/// Parses a count of 0 or more. A fraction is rounded down, and a count that exceeds the type is
+/// reduced to its maximum, since a bound that a platform computes may be of any size.
+pub(crate) fn parse_count(text: &str) -> Option<u32> {
+    parse_number(text).map(|number| number as u32)
+}
+
+/// Parses a finite number of 0 or more. Unlike `f64::from_str`, accepts no words such as `inf`.
+fn parse_number(text: &str) -> Option<f64> {
+    let is_number = text.starts_with(|c: char| c.is_ascii_digit());
+    let number: f64 = text.parse().ok().filter(|_| is_number)?;
+    number.is_finite().then_some(number)
+}
+
+/// Maximum length of a value that is shown in an error. A secret is longer.
+const MAX_SHOWN_VALUE_BYTES: usize = MIN_SECRET_BYTES - 1;
+
+/// Returns a value from the file as it may be shown in an error: a short number, with or without a
+/// unit. Any other value may be a secret.
+pub(crate) fn shown_value(value: &str) -> Option<&str> {
+    let is_number = value.starts_with(|c: char| c.is_ascii_digit() || c == '-');
+    let has_known_unit = {
+        let unit = value.trim_start_matches(|c: char| c.is_ascii_digit() || "+-.eE".contains(c));
+        ["", "B", "KB", "MB", "GB", "ms", "s", "m"].contains(&unit.trim())
+    };
+    (is_number && has_known_unit && value.len() <= MAX_SHOWN_VALUE_BYTES).then_some(value)
 }
 
 /// Interface of a node for callers, upstreams and operators.
