--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -31,6 +31,7 @@
     pub(crate) platform_reachable: Gauge,
     pub(crate) endpoints_known: Gauge,
     pub(crate) log_lines_dropped: Counter,
+    pub(crate) entries_skipped: Gauge,
 }
 
 impl Metrics {
@@ -49,6 +50,7 @@
             platform_reachable: Gauge::default(),
             endpoints_known: Gauge::default(),
             log_lines_dropped: Counter::default(),
+            entries_skipped: Gauge::default(),
         };
         metrics.registry = Arc::new(metrics.register());
         metrics
@@ -101,6 +103,11 @@
             "Log lines dropped because the log queue was full",
             self.log_lines_dropped.clone(),
         );
+        r.register(
+            "entries_skipped",
+            "Unusable entries of the platform's store, counted each time that one is read",
+            self.entries_skipped.clone(),
+        );
         registry
     }
 }
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -158,6 +158,13 @@
         *self.phase.borrow()
     }
 
+    /// Number of unusable entries that were read from the platform's store.
+    pub(crate) fn skipped_entries(&self) -> u64 {
+        let Interfaces { store, config_source, .. } = &self.interfaces;
+        let of_config = config_source.as_ref().map_or(0, |source| source.skipped_entries());
+        store.skipped_entries() + of_config
+    }
+
     /// Returns whether the node has received a configuration. Without one it can't decide which
     /// requests are allowed.
     pub(crate) fn is_synced(&self) -> bool {
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -55,6 +55,7 @@
         let is_reachable = node.platform_reachable.load(Ordering::Relaxed);
         metrics.platform_reachable.set(i64::from(is_reachable));
         metrics.endpoints_known.set(node.loads.len() as i64);
+        metrics.entries_skipped.set(node.skipped_entries() as i64);
         node.loads.remove_stale(now);
         let counted = metrics.log_lines_dropped.get();
         metrics.log_lines_dropped.inc_by(logging::dropped_lines().saturating_sub(counted));
--- a/crates/store/src/config_source.rs
+++ b/crates/store/src/config_source.rs
@@ -15,4 +15,9 @@
         since: Revision,
         wait: Duration,
     ) -> Result<Option<Listing>, StoreError>;
+
+    /// Number of entries of configurations that were skipped because they can't be used.
+    fn skipped_entries(&self) -> u64 {
+        0
+    }
 }
--- a/crates/store/src/object_store.rs
+++ b/crates/store/src/object_store.rs
@@ -27,6 +27,12 @@
         object: Option<&Object>,
         write_id: &WriteId,
     ) -> Result<Revision, StoreError>;
+
+    /// Number of stored entries that were skipped because they can't be used, counted each time
+    /// that one is read.
+    fn skipped_entries(&self) -> u64 {
+        0
+    }
 }
 
 /// All live objects at one revision.
--- a/crates/upstream/src/announce.rs
+++ b/crates/upstream/src/announce.rs
@@ -53,7 +53,7 @@
             return Err("expected POST /v1/announce".into());
         }
         let endpoint: Endpoint =
-            serde_json::from_slice(body).map_err(|err| Box::from(err.to_string()))?;
+            serde_json::from_slice(body).map_err(|err| Box::<str>::from(err.to_string()))?;
         Ok(Announcement { origin: Origin::default(), report: Report::State(endpoint) })
     }
 
