Report overdue calls to the health of an endpoint while they run

Now a call counts as overdue when it has run for the mean latency of its route at the endpoint plus four mean deviations, with half of the score that makes an endpoint suspect. Two overdue calls without successes between them suffice; one in thirty does not.

--- a/crates/health/src/endpoint.rs
+++ b/crates/health/src/endpoint.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use model::{RouteName, Time};
+use model::{LatencyEstimate, RouteName, Time};
 
 /// Failure score at which an endpoint becomes suspect.
 const SUSPECT_SCORE_THRESHOLD: f64 = 1.0;
@@ -28,14 +28,23 @@
 /// processor don't make short calls slow.
 const SLOW_LATENCY_MARGIN: Duration = Duration::from_millis(40);
 
+/// A call is overdue when it has run for the mean latency of its route plus this many mean
+/// deviations. About 1 in 40 calls of a healthy endpoint takes longer, even if latencies vary by a
+/// factor of two.
+const OVERDUE_DEVIATIONS: u32 = 4;
+
+/// Time after which a call is overdue if its route has no baseline. Calls in current deployments
+/// take 50 to 800 ms.
+const DEFAULT_OVERDUE_AFTER: Duration = Duration::from_millis(1500);
+
 /// Calls of a route needed before its mean latency is used as a baseline.
 const MIN_BASELINE_CALLS: u32 = 8;
 
 /// A call contributes 1/16 to the moving average of the latency.
-const BASELINE_EWMA_DIVISOR: f64 = 16.0;
+const BASELINE_EWMA_DIVISOR: u32 = 16;
 
 /// A slow call contributes 1/64, so the baseline takes some tens of calls to follow a lasting change.
-const SLOW_CALL_EWMA_DIVISOR: f64 = 64.0;
+const SLOW_CALL_EWMA_DIVISOR: u32 = 64;
 
 /// Consecutive successful probes after which a suspect endpoint is trusted again. An endpoint that
 /// fails half of its calls passes two in a row one time in four.
@@ -67,6 +76,12 @@
 pub enum CallResult {
     /// A complete answer other than a server error, with this latency.
     Success(Duration),
+    /// The call has run for longer than [`EndpointHealth::overdue_after`] and goes on. Such calls are
+    /// reported while they run, because an endpoint that hangs has failed many calls by the time
+    /// that the first one reaches its deadline.
+    Overdue,
+    /// A complete answer other than a server error to a call that was reported as overdue.
+    SuccessAfterOverdue(Duration),
     /// A server error caused by the endpoint itself. Healthy endpoints return some too.
     ServerError,
     /// The connection failed or was lost, the answer timed out, or it was malformed.
@@ -121,26 +136,25 @@
 
 /// Moving average of the latency of a route.
 #[derive(Debug, Clone, Copy, Default)]
-struct LatencyBaseline {
-    mean_seconds: f64,
-    calls: u32,
-}
+struct LatencyBaseline(LatencyEstimate);
 
 impl LatencyBaseline {
     /// Adds the latency of a call, and returns whether the call was slow.
     fn observe(&mut self, latency: Duration) -> bool {
-        let seconds = latency.as_secs_f64();
-        let limit = (self.mean_seconds * SLOW_LATENCY_FACTOR)
-            .max(self.mean_seconds + SLOW_LATENCY_MARGIN.as_secs_f64());
-        let is_slow = self.calls >= MIN_BASELINE_CALLS && seconds > limit;
-        let divisor = match is_slow {
-            true => SLOW_CALL_EWMA_DIVISOR,
-            false => f64::from(self.calls + 1).min(BASELINE_EWMA_DIVISOR),
-        };
-        self.calls = self.calls.saturating_add(1);
-        self.mean_seconds += (seconds - self.mean_seconds) / divisor;
+        let mean = self.0.mean();
+        let limit = mean.mul_f64(SLOW_LATENCY_FACTOR).max(mean + SLOW_LATENCY_MARGIN);
+        let is_slow = self.is_known() && latency > limit;
+        match is_slow {
+            true => self.0.observe_weighted(latency, SLOW_CALL_EWMA_DIVISOR),
+            false => self.0.observe(latency, BASELINE_EWMA_DIVISOR),
+        }
         is_slow
     }
+
+    /// Whether there have been enough calls to compare others with them.
+    fn is_known(&self) -> bool {
+        self.0.samples() >= MIN_BASELINE_CALLS
+    }
 }
 
 /// Progress of probing while the endpoint is suspect.
@@ -216,6 +230,11 @@
                 true => self.record_failure(now, SLOW_CALL_SCORE),
                 false => self.record_success(now),
             },
+            CallResult::Overdue => self.record_failure(now, SLOW_CALL_SCORE),
+            CallResult::SuccessAfterOverdue(latency) => {
+                self.observe_latency(route, latency);
+                None
+            }
             CallResult::Shed | CallResult::DependencyFailed => None,
             CallResult::ServerError => self.record_failure(now, SERVER_ERROR_SCORE),
             // A single broken call makes the endpoint suspect.
@@ -228,6 +247,16 @@
         self.suspect_state.map(|suspect| suspect.since)
     }
 
+    /// Time after which a running call of a route is overdue.
+    pub fn overdue_after(&self, route: &RouteName) -> Duration {
+        match self.baselines.get(route).filter(|baseline| baseline.is_known()) {
+            Some(LatencyBaseline(estimate)) => {
+                estimate.upper(OVERDUE_DEVIATIONS).max(estimate.mean() + SLOW_LATENCY_MARGIN)
+            }
+            None => DEFAULT_OVERDUE_AFTER,
+        }
+    }
+
     /// Adds the latency of a call to the baseline of its route, and returns whether the call was slow.
     fn observe_latency(&mut self, route: &RouteName, latency: Duration) -> bool {
         if let Some(baseline) = self.baselines.get_mut(route) {
--- a/crates/health/tests/endpoint.rs
+++ b/crates/health/tests/endpoint.rs
@@ -55,6 +55,34 @@
     check_calls_until_suspect(&mostly_good, usize::MAX);
 }
 
+/// Guards against an endpoint that hangs and stays trusted until the first of its calls reaches its
+/// deadline, and against one that is ejected for a single call in the tail of its latencies.
+#[test]
+fn calls_that_hang_make_an_endpoint_suspect_while_they_run() {
+    use CallResult::{Overdue, SuccessAfterOverdue};
+    check_calls_until_suspect(&[Overdue], 3);
+    check_calls_until_suspect(&[QUICK, QUICK, Overdue], 12);
+    let mut mostly_good = vec![QUICK; 30];
+    mostly_good.extend([Overdue, SuccessAfterOverdue(Duration::from_secs(2))]);
+    check_calls_until_suspect(&mostly_good, usize::MAX);
+}
+
+/// Guards against a limit that does not follow the latencies of the route, so that calls of a slow
+/// route are always overdue, or those of a quick one only near their deadline.
+#[test]
+fn the_overdue_limit_follows_the_latencies_of_the_route() {
+    let mut health = EndpointHealth::default();
+    assert_eq!(health.overdue_after(&route()), Duration::from_millis(1500));
+    for index in 0..200 {
+        let latency = Duration::from_millis([100, 140][index % 2]);
+        health.record(ms(0), ms(0), &route(), CallResult::Success(latency));
+    }
+    let limit = health.overdue_after(&route());
+    assert!((160..=220).contains(&limit.as_millis()), "{limit:?}");
+    let other: RouteName = "other".parse().unwrap();
+    assert_eq!(health.overdue_after(&other), Duration::from_millis(1500));
+}
+
 /// An endpoint that becomes slow must become suspect, but not one that has always been slow or whose
 /// short calls vary in latency.
 #[test]
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -9,6 +9,7 @@
 mod ids;
 mod key;
 mod labels;
+mod latency;
 mod load;
 mod object;
 mod result_code;
@@ -24,6 +25,7 @@
 };
 pub use key::{CallerKey, KeyDigest, KeyError};
 pub use labels::{Labels, Selector, SelectorError};
+pub use latency::LatencyEstimate;
 pub use load::LoadReport;
 pub use object::{
     ANY_METHOD, Access, Account, DocumentError, Endpoint, EndpointMark, EndpointState, Key, Kind,
--- a/crates/node/src/guard.rs
+++ b/crates/node/src/guard.rs
@@ -178,6 +178,11 @@
         }
     }
 
+    /// Time after which a running call counts as overdue.
+    pub(crate) fn overdue_after(&self, call: &Call) -> Duration {
+        lock(&self.health).entry(call.endpoint.clone()).or_default().overdue_after(&call.route)
+    }
+
     /// Probability that a call which a local upstream makes now was caused by a retry.
     pub(crate) fn retry_share(&self) -> Percent {
         lock(&self.state).core.retry_share()
--- a/crates/node/src/upstream_call.rs
+++ b/crates/node/src/upstream_call.rs
@@ -32,8 +32,12 @@
     };
     let deadline = node.clock.to_instant(call.start_by);
     let reuse = node.guard.connection_reuse(&call.endpoint, started);
-    let result = timeout_at(deadline, node.upstreams.send(addr, req, reuse)).await;
-    match classify(node, &call, addr, result.ok(), started) {
+    let sent = node.upstreams.send(addr, req, reuse);
+    let mut is_overdue = false;
+    let watched = report_overdue(node, &call, started, sent, &mut is_overdue);
+    let result = timeout_at(deadline, watched).await.ok();
+    let running = RunningCall { call: &call, addr, started, is_overdue };
+    match classify(node, &running, result) {
         Outcome::Answer(answer) => answer_reply(node, &call, answer, active, started),
         Outcome::Refused(code) => refused(node, &call, code),
         Outcome::Failed(code) => CallReply::Failed(code),
@@ -49,17 +53,44 @@
     Failed(ResultCode),
 }
 
+/// Waits for the response to a call. If the call becomes overdue, reports it to the health of the
+/// endpoint and sets `is_overdue`.
+async fn report_overdue<T>(
+    node: &Node,
+    call: &Call,
+    started: Time,
+    sent: impl Future<Output = T>,
+    is_overdue: &mut bool,
+) -> T {
+    tokio::pin!(sent);
+    let overdue_at = node.clock.to_instant(started + node.guard.overdue_after(call));
+    if let Ok(result) = timeout_at(overdue_at, sent.as_mut()).await {
+        return result;
+    }
+    *is_overdue = true;
+    node.guard.record_result(node, call, started, CallResult::Overdue);
+    sent.await
+}
+
+/// A call that was sent to its upstream.
+struct RunningCall<'a> {
+    call: &'a Call,
+    addr: SocketAddr,
+    started: Time,
+    /// Whether the call has been reported as overdue.
+    is_overdue: bool,
+}
+
 /// Classifies the result of a call. `result` is `None` if the deadline passed first.
 fn classify(
     node: &Arc<Node>,
-    call: &Call,
-    addr: SocketAddr,
+    running: &RunningCall<'_>,
     result: Option<Result<UpstreamAnswer, UpstreamError>>,
-    started: Time,
 ) -> Outcome {
+    let RunningCall { call, addr, started, .. } = *running;
     let record = |result| node.guard.record_result(node, call, started, result);
     match result {
-        Some(Ok(answer)) => classify_answer(node, call, answer, started),
+        Some(Ok(answer)) => classify_answer(node, running, answer),
         Some(Err(UpstreamError::ConnectRefused)) => {
             record(CallResult::Broken);
             crate::announce::remove_refusing(node, &call.endpoint, addr);
@@ -88,7 +119,8 @@
 const HANG_THRESHOLD: Duration = Duration::from_millis(900);
 
 /// Checks that a response was produced by the upstream itself, is valid and belongs to the request.
-fn classify_answer(node: &Node, call: &Call, answer: UpstreamAnswer, started: Time) -> Outcome {
+fn classify_answer(node: &Node, running: &RunningCall<'_>, answer: UpstreamAnswer) -> Outcome {
+    let RunningCall { call, started, is_overdue, .. } = *running;
     let names = node.headers();
     let record = |result| node.guard.record_result(node, call, started, result);
     if answer.status == StatusCode::MISDIRECTED_REQUEST.as_u16() {
@@ -127,6 +159,7 @@
             CallResult::DependencyFailed
         }
         500.. => CallResult::ServerError,
+        _ if is_overdue => CallResult::SuccessAfterOverdue(node.now().since(started)),
         _ => CallResult::Success(node.now().since(started)),
     });
     Outcome::Answer(answer)
