Start a second attempt beside an idempotent one that takes long

Cause: a request at an endpoint that hangs was lost with its whole timeout, although requests of `safe` and `download` routes may run elsewhere.

Now an idempotent request gets a second attempt when the first has taken the mean latency of its route plus three mean deviations, or half of its timeout. The first success counts and cancels the other. The second attempt counts towards the attempts of the route and the retry limit of its guard, and is refused by endpoints without a free slot, so that an overloaded service gets no more work. The delay is decided in routing::hedging, which is tested without a network. Sending an attempt has moved into a module of its own, so that attempts can run side by side.

Ruled out: giving up the first attempt at that time, which loses the slow ones that succeed.

--- a/crates/node/src/attempts.rs
+++ b/crates/node/src/attempts.rs
@@ -7,37 +7,47 @@
 use config::{Revisions, RouteEntry};
 use membership::EndpointEntry;
 use model::{
-    AccountName, AttemptId, EndpointName, Incarnation, KeyId, Percent, RequestId, ResultCode,
-    RouteName, ServiceName, Time,
+    AccountName, AttemptId, EndpointName, KeyId, Percent, RequestId, ResultCode, RouteName,
+    ServiceName, Time,
 };
 use payload::Payload;
-use peer::{CallAnswer, CallError, CallReply, SentAttempt, SilenceAction};
+use peer::{CallAnswer, SentAttempt};
 use routing::{
     AttemptEnd, Balancer, BodyState, CallAttempts, Evidence, FenceResult, Idempotence, NextAction,
-    RetryParams, refusal_evidence,
+    RetryParams,
 };
-use tokio::time::{Instant, timeout, timeout_at};
-use wire::{BodyPart, Call, EndpointLoad, Head, MAX_CHUNK_BYTES};
+use tokio::time::timeout;
+use wire::{BodyPart, Call, Head, MAX_CHUNK_BYTES};
 
 use crate::choice::SelectedEndpoint;
 use crate::entry::RequestTrace;
-use crate::guard;
+use crate::latencies::RouteLatencies;
 use crate::loads::{InFlightCall, PathOutcome};
-use crate::peers::{Peer, catch_up_if_behind};
 use crate::records::AttemptRecord;
+use crate::sending::{
+    AttemptTarget, EndedAttempt, FENCE_TIMEOUT, FinishedAttempt, OutgoingAttempt, RaceEvent,
+    RunningAttempt, next_event,
+};
 use crate::shared::{Node, lock};
 
-/// Timeout for the response to a fence.
-const FENCE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Number of times that a request tries to start a second attempt. Endpoints that are busy refuse
+/// it at once, so that an overloaded service gets no more work by it.
+pub(crate) const MAX_HEDGES: u32 = 2;
 
-/// Extra wait after the deadline. The guard refuses a call that is still queued at the deadline, and
-/// the refusal, which proves that the call did not run, needs some time to arrive.
-const REFUSAL_GRACE: Duration = Duration::from_millis(20);
+/// Result of one attempt, and what to do next.
+enum AttemptStep {
+    /// A response that ends the request.
+    Answer(CallAnswer),
+    /// A server error, which is returned unless another attempt succeeds.
+    ServerError(CallAnswer, NextAction),
+    Failed(NextAction),
+}
 
 /// The execution of one request, with one or several attempts.
 pub(crate) struct RequestExecution<'a> {
     pub(crate) node: &'a Arc<Node>,
     pub(crate) balancer: &'a Balancer,
+    pub(crate) latencies: &'a RouteLatencies,
     pub(crate) route: &'a RouteEntry,
     /// The service selected for the request.
     pub(crate) service: ServiceName,
@@ -67,28 +77,15 @@
     pub(crate) busy: Vec<EndpointName>,
     /// Endpoints whose guard refused the call because the endpoint is suspect.
     pub(crate) suspects: Vec<EndpointName>,
+    /// Number of times that a second attempt may still be started beside a running one.
+    pub(crate) hedges_left: u32,
     pub(crate) trace: &'a mut RequestTrace,
 }
 
-/// An attempt that has ended.
-struct FinishedAttempt {
-    attempt: AttemptId,
-    start_by: Time,
-    target: AttemptTarget,
-    result: Result<CallAnswer, AttemptEnd>,
-}
-
-/// The guard that an attempt was sent to.
-enum AttemptTarget {
-    /// The guard of this node.
-    Local,
-    /// The guard of another node, and the process there that received the attempt.
-    Remote(Arc<Peer>, Incarnation),
-}
-
-impl RequestExecution<'_> {
+impl<'a> RequestExecution<'a> {
     /// Makes attempts until one returns a response that ends the request, or no further attempt is
-    /// possible.
+    /// possible. An idempotent request may have a second attempt in progress, see
+    /// [`RequestExecution::hedge`].
     pub(crate) async fn run_attempts(&mut self) -> Result<CallAnswer, ResultCode> {
         let params = RetryParams {
             idempotence: self.idempotence,
@@ -98,64 +95,112 @@
         let mut attempts = CallAttempts::new(params);
         // The last server error. It is returned to the caller unless another endpoint succeeds.
         let mut server_error = None;
+        let mut running: Vec<RunningAttempt<'a>> = Vec::new();
         loop {
-            let Some(selected) = self.select_endpoint(&attempts) else {
-                if let Some(answer) = server_error {
-                    return Ok(answer);
-                }
-                // Once endpoints have refused the request, that is a better reason than a missing
-                // upstream.
-                let code = match self.trace.record.attempts.is_empty() {
-                    true => ResultCode::NoUpstream,
-                    false => ResultCode::QueueFull,
+            if running.is_empty() {
+                let Some(selected) = self.select_endpoint(&attempts) else {
+                    let code = self.no_endpoint_code();
+                    return server_error.ok_or(final_code(attempts.final_action(code)));
                 };
-                return Err(final_code(attempts.final_action(code)));
+                let is_retry = attempts.reached_endpoint() > 0;
+                running.push(self.start_attempt(selected, is_retry));
+            }
+            let hedge_at = self.hedge_at(&attempts, &running);
+            let RaceEvent::Ended(ended, finished) = next_event(&mut running, hedge_at).await else {
+                running.extend(self.hedge(&running));
+                continue;
             };
-            let started = self.node.now();
-            let SelectedEndpoint { entry, max_expected_wait, .. } = &selected;
-            // Remains the recorded end if the caller disconnects first.
-            self.record_attempt(&selected, "no answer yet".into());
-            let in_flight = InFlightCall::start(self.node, &entry.name, started);
-            let is_retry = attempts.reached_endpoint() > 0;
-            let finished = self.attempt(&selected, is_retry).await;
-            let now = self.node.now();
-            let end = match finished.result {
-                Ok(answer) => {
-                    self.record_attempt_end(format!("answered {}", answer.status));
-                    let overhead = now.since(started).saturating_sub(answer.took);
-                    in_flight.finish(PathOutcome::Answered(overhead));
-                    if answer.status < 500 {
-                        self.node.unsent_retry_limiters.record_answer(&self.service, now);
-                        return Ok(answer);
-                    }
-                    match self.next_action(&mut attempts, AttemptEnd::ServerError) {
-                        NextAction::Retry => {
-                            self.node.metrics.retries.inc();
-                            self.tried.push(entry.name.clone());
-                            server_error = Some(answer);
-                            continue;
-                        }
-                        _ => return Ok(answer),
+            let action = match self.handle_end(&mut attempts, ended, finished).await {
+                AttemptStep::Answer(answer) => {
+                    for abandoned in running {
+                        self.abandon(abandoned);
                     }
+                    return Ok(answer);
                 }
-                Err(end) => classify_busy(end, *max_expected_wait),
+                AttemptStep::ServerError(answer, action) => {
+                    server_error = Some(answer);
+                    action
+                }
+                AttemptStep::Failed(action) => action,
             };
-            self.record_attempt_end(describe_end(end));
-            in_flight.finish(path_outcome(end));
-            self.exclude_endpoint(entry, end, now);
-            let mut action = self.next_action(&mut attempts, end);
-            if action == NextAction::Fence {
-                let result = self.fence(&finished).await;
-                self.record_attempt(&selected, format!("fenced: {result:?}").into());
-                action = self.next_action(&mut attempts, AttemptEnd::Fenced { result });
+            if action == NextAction::Retry {
+                self.node.metrics.retries.inc();
+            } else if running.is_empty() {
+                return server_error.ok_or(final_code(action));
             }
-            match action {
-                NextAction::Retry => {
-                    self.node.metrics.retries.inc();
+        }
+    }
+
+    /// Code for a request that no endpoint is left for. Once endpoints have refused it, that is a
+    /// better reason than a missing upstream.
+    fn no_endpoint_code(&self) -> ResultCode {
+        match self.trace.record.attempts.is_empty() {
+            true => ResultCode::NoUpstream,
+            false => ResultCode::QueueFull,
+        }
+    }
+
+    /// Processes the end of an attempt, and fences it if it may still run and must not.
+    async fn handle_end(
+        &mut self,
+        attempts: &mut CallAttempts,
+        ended: EndedAttempt<'a>,
+        finished: FinishedAttempt,
+    ) -> AttemptStep {
+        let EndedAttempt { record, started, in_flight, selected } = ended;
+        let now = self.node.now();
+        let end = match finished.result {
+            Ok(answer) => {
+                self.record_attempt_end(record, format!("answered {}", answer.status));
+                let overhead = now.since(started).saturating_sub(answer.took);
+                in_flight.finish(PathOutcome::Answered(overhead));
+                if answer.status < 500 {
+                    self.node.unsent_retry_limiters.record_answer(&self.service, now);
+                    self.latencies.observe(&self.route_name, now.since(started));
+                    return AttemptStep::Answer(answer);
                 }
-                action => return server_error.ok_or(final_code(action)),
+                self.tried.push(selected.entry.name);
+                let action = self.next_action(attempts, AttemptEnd::ServerError);
+                return AttemptStep::ServerError(answer, action);
             }
+            Err(end) => classify_busy(end, selected.max_expected_wait),
+        };
+        self.record_attempt_end(record, describe_end(end));
+        in_flight.finish(path_outcome(end));
+        self.exclude_endpoint(&selected.entry, end, now);
+        let mut action = self.next_action(attempts, end);
+        if action == NextAction::Fence {
+            let result = self.fence(&finished).await;
+            self.record_attempt(&selected, format!("fenced: {result:?}").into());
+            action = self.next_action(attempts, AttemptEnd::Fenced { result });
         }
+        AttemptStep::Failed(action)
+    }
+
+    /// Time at which a second attempt starts beside the running one, if the request may have one.
+    fn hedge_at(&self, attempts: &CallAttempts, running: &[RunningAttempt<'_>]) -> Option<Time> {
+        let [only] = running else { return None };
+        let may_hedge = self.hedges_left > 0 && attempts.may_hedge(self.body_state());
+        let timeout = self.deadline.since(self.trace.started);
+        may_hedge.then(|| only.started + self.latencies.hedge_delay(&self.route_name, timeout))
+    }
+
+    /// Starts a second attempt at an endpoint with a free slot. The first one goes on, and the first
+    /// success counts: an endpoint that hangs gives no sign until the deadline.
+    fn hedge(&mut self, running: &[RunningAttempt<'_>]) -> Option<RunningAttempt<'a>> {
+        self.hedges_left -= 1;
+        let in_use = running.iter().map(|attempt| attempt.selected.entry.name.clone());
+        let selected = self.select_hedge(in_use.collect())?;
+        self.node.metrics.hedges.inc();
+        Some(self.start_attempt(selected, true))
+    }
+
+    /// Drops an attempt, which cancels it, after another one has succeeded. The time that it took so
+    /// far counts as a latency, so that the estimate does not follow the quick attempts only.
+    fn abandon(&mut self, attempt: RunningAttempt<'_>) {
+        let elapsed = self.node.now().since(attempt.started);
+        self.latencies.observe(&self.route_name, elapsed);
+        self.record_attempt_end(attempt.record, "abandoned: another attempt succeeded".to_owned());
     }
 
     /// Adds the endpoint of a failed attempt to the list that fits its end, so that the next attempt
@@ -193,76 +238,28 @@
             .with_service(&self.service, |limiter| attempts.on_attempt_end(end, body, limiter, now))
     }
 
-    async fn attempt(&mut self, selected: &SelectedEndpoint, is_retry: bool) -> FinishedAttempt {
-        let attempt = self.node.next_attempt_id();
-        let call = self.build_call(attempt, selected, is_retry);
-        match self.node.peers.find(selected.entry.node.as_str()) {
-            Some(peer) => self.attempt_remote(call, peer).await,
-            None => self.attempt_local(call).await,
-        }
-    }
-
-    async fn attempt_local(&mut self, call: Call) -> FinishedAttempt {
-        let (node, attempt) = (self.node, call.attempt);
-        let body = self.take_unsent_body();
-        let reply = timeout_at(self.response_deadline(), guard::serve(node, call, body)).await;
-        let result = match reply {
-            Ok(reply) => {
-                // The balancer needs the load of local endpoints as well as that of remote ones.
-                node.loads.update(reported_load(&reply), node.now());
-                reply_to_result(reply)
-            }
-            Err(_) => Err(AttemptEnd::Unknown { code: ResultCode::DeadlineAfterStart }),
-        };
-        let target = AttemptTarget::Local;
-        FinishedAttempt { attempt, start_by: self.deadline, target, result }
-    }
-
-    async fn attempt_remote(&mut self, call: Call, peer: Arc<Peer>) -> FinishedAttempt {
-        let (node, attempt) = (self.node, call.attempt);
-        let body = self.take_unsent_body();
-        let idempotence = self.idempotence;
-        let (silent_peer, entry_node) = (Arc::clone(&peer), Arc::clone(node));
-        let on_silence = move |sent| handle_silent_link(entry_node, silent_peer, idempotence, sent);
-        let sent = node.call_pool.call(peer.addr, call, self.deadline, body, on_silence);
-        let outcome = timeout_at(self.response_deadline(), sent).await;
+    /// Starts an attempt at the selected endpoint.
+    fn start_attempt(&mut self, selected: SelectedEndpoint, is_retry: bool) -> RunningAttempt<'a> {
+        let node = self.node;
         let now = node.now();
-        let mut sent_attempt = None;
-        let result = match outcome {
-            Ok(Ok(answer)) => {
-                peer.record_success();
-                node.loads.update([&answer.load], now);
-                catch_up_if_behind(node, &peer.name, answer.revisions);
-                Ok(answer)
-            }
-            Ok(Err(CallError::NotSent(err))) => {
-                peer.record_failure(now, &err);
-                let code = ResultCode::LinkUnavailable;
-                Err(AttemptEnd::Refused { code, evidence: Evidence::NotRun })
-            }
-            Ok(Err(CallError::Refused { code, load, revisions })) => {
-                if code != ResultCode::AttemptFenced {
-                    peer.record_success();
-                }
-                node.loads.update(&load, now);
-                catch_up_if_behind(node, &peer.name, revisions);
-                let same = Incarnation::default();
-                Err(AttemptEnd::Refused { code, evidence: refusal_evidence(code, same, same) })
-            }
-            Ok(Err(CallError::Unknown { code, sent })) => {
-                sent_attempt = Some(sent);
-                Err(AttemptEnd::Unknown { code })
-            }
-            Err(_) => Err(AttemptEnd::Unknown { code: ResultCode::DeadlineAfterStart }),
+        // Remains the recorded end if the caller disconnects first.
+        let record = self.record_attempt(&selected, "no answer yet".into());
+        let call = self.build_call(node.next_attempt_id(), &selected, is_retry);
+        let outgoing = OutgoingAttempt {
+            node: Arc::clone(node),
+            call,
+            body: self.take_unsent_body(),
+            deadline: self.deadline,
+            idempotence: self.idempotence,
         };
-        let (process, start_by) = sent_attempt
-            .map_or((Incarnation::default(), self.deadline), |sent| (sent.process, sent.start_by));
-        FinishedAttempt { attempt, start_by, target: AttemptTarget::Remote(peer, process), result }
-    }
-
-    /// Time at which the entry stops waiting for a response.
-    fn response_deadline(&self) -> Instant {
-        self.node.clock.to_instant(self.deadline + REFUSAL_GRACE)
+        let peer = node.peers.find(selected.entry.node.as_str());
+        RunningAttempt {
+            record,
+            started: now,
+            in_flight: InFlightCall::start(node, &selected.entry.name, now),
+            selected,
+            outcome: Box::pin(outgoing.send(peer)),
+        }
     }
 
     /// Asks the guard that received an attempt to prevent it from starting, and whether it has run.
@@ -322,15 +319,17 @@
         }
     }
 
-    fn record_attempt_end(&mut self, end: String) {
+    /// Sets the end of the attempt with this index in the record.
+    fn record_attempt_end(&mut self, index: usize, end: String) {
         let at = self.node.now().since(self.trace.started);
-        if let Some(attempt) = self.trace.record.attempts.last_mut() {
+        if let Some(attempt) = self.trace.record.attempts.get_mut(index) {
             attempt.at = at;
             attempt.end = end.into();
         }
     }
 
-    fn record_attempt(&mut self, selected: &SelectedEndpoint, end: Box<str>) {
+    /// Adds an attempt to the record of the request and returns its index there.
+    fn record_attempt(&mut self, selected: &SelectedEndpoint, end: Box<str>) -> usize {
         let SelectedEndpoint { choice, entry, accepts_suspect, .. } = selected;
         let insists = if *accepts_suspect { ", insists" } else { "" };
         self.trace.record.attempts.push(AttemptRecord {
@@ -341,6 +340,7 @@
             considered: choice.considered,
             end,
         });
+        self.trace.record.attempts.len() - 1
     }
 }
 
@@ -352,46 +352,6 @@
     }
 }
 
-/// Decides what to do with a call whose link has gone silent. An idempotent call is abandoned, which
-/// leaves time to try another endpoint. A non-idempotent call is fenced over another link first.
-async fn handle_silent_link(
-    node: Arc<Node>,
-    peer: Arc<Peer>,
-    idempotence: Idempotence,
-    sent: SentAttempt,
-) -> SilenceAction {
-    peer.record_failure(node.now(), &"a link went silent during a call");
-    if idempotence == Idempotence::Idempotent {
-        return SilenceAction::GiveUp;
-    }
-    node.metrics.fences.inc();
-    match timeout(FENCE_TIMEOUT, peer.fence(sent)).await {
-        Ok(FenceResult::NotRun) => SilenceAction::NotRun,
-        _ => SilenceAction::KeepWaiting,
-    }
-}
-
-fn reported_load(reply: &CallReply) -> Option<&EndpointLoad> {
-    match reply {
-        CallReply::Answer { load, .. } => Some(load),
-        CallReply::Refused { load, .. } => load.as_ref(),
-        CallReply::Failed(_) => None,
-    }
-}
-
-fn reply_to_result(reply: CallReply) -> Result<CallAnswer, AttemptEnd> {
-    match reply {
-        CallReply::Answer { status, headers, body, load, revisions, took } => {
-            Ok(CallAnswer { status, headers, body, load, revisions, took })
-        }
-        CallReply::Refused { code, .. } => {
-            let same = Incarnation::default();
-            Err(AttemptEnd::Refused { code, evidence: refusal_evidence(code, same, same) })
-        }
-        CallReply::Failed(code) => Err(AttemptEnd::Unknown { code }),
-    }
-}
-
 /// Classifies the end of an attempt by what it says about the path to the endpoint.
 fn path_outcome(end: AttemptEnd) -> PathOutcome {
     match end {
--- a/crates/node/src/choice.rs
+++ b/crates/node/src/choice.rs
@@ -128,6 +128,15 @@
         selected(found, None, !self.suspects.is_empty())
     }
 
+    /// Selects an endpoint for a second attempt beside those at the endpoints `in_use`. It must be
+    /// trusted and refuses the attempt if it has no free slot.
+    pub(crate) fn select_hedge(&self, in_use: Vec<EndpointName>) -> Option<SelectedEndpoint> {
+        let excluded = [&in_use[..], &self.tried, &self.suspects, &self.busy].concat();
+        let (choice, entry) = self.choose_excluding(&excluded, Avoidance::Enabled)?;
+        let max_expected_wait = Some(MAX_EXPECTED_WAIT);
+        Some(SelectedEndpoint { choice, entry, max_expected_wait, accepts_suspect: false })
+    }
+
     fn choose_excluding(
         &self,
         excluded: &[EndpointName],
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -17,7 +17,8 @@
 use tokio::time::timeout_at;
 use wire::{Head, Header};
 
-use crate::attempts::RequestExecution;
+use crate::attempts::{MAX_HEDGES, RequestExecution};
+use crate::latencies::RouteLatencies;
 use crate::limiter::TokenDenied;
 use crate::logging;
 use crate::metrics::RequestEndLabel;
@@ -36,22 +37,24 @@
 const MAX_QUEUE_WAIT_PERCENT: u32 = 50;
 
 /// Handles the requests of callers.
+#[derive(Clone)]
 pub(crate) struct Entry {
     pub(crate) node: Arc<Node>,
     balancer: Balancer,
+    latencies: Arc<RouteLatencies>,
 }
 
 impl Entry {
     pub(crate) fn new(node: Arc<Node>) -> Entry {
         let balancer = Balancer::new(node.info().domain.clone(), BalancerParams::default());
-        Entry { node, balancer }
+        Entry { node, balancer, latencies: Arc::default() }
     }
 }
 
 impl CallerHandler for Entry {
     fn handle(&self, req: CallerRequest) -> PendingAnswer {
-        let (node, balancer) = (Arc::clone(&self.node), self.balancer.clone());
-        Box::pin(async move { handle_request(node, balancer, req).await })
+        let entry = self.clone();
+        Box::pin(async move { handle_request(entry, req).await })
     }
 
     fn refused(&self, id: &RequestId, code: ResultCode) {
@@ -112,15 +115,12 @@
     }
 }
 
-async fn handle_request(
-    node: Arc<Node>,
-    balancer: Balancer,
-    req: CallerRequest,
-) -> Response<Payload> {
+async fn handle_request(entry: Entry, req: CallerRequest) -> Response<Payload> {
+    let node = &entry.node;
     let id = req.id.clone();
     let mut trace =
-        RequestTrace::new(&node, id.clone(), req.method.as_str(), &req.host, &req.target);
-    match process_request(&node, &balancer, req, &mut trace).await {
+        RequestTrace::new(node, id.clone(), req.method.as_str(), &req.host, &req.target);
+    match process_request(&entry, req, &mut trace).await {
         Ok(answer) => {
             trace.finish(RequestEnd::Answered(answer.status));
             to_response(answer)
@@ -133,8 +133,7 @@
 }
 
 async fn process_request(
-    node: &Arc<Node>,
-    balancer: &Balancer,
+    Entry { node, balancer, latencies }: &Entry,
     mut req: CallerRequest,
     trace: &mut RequestTrace,
 ) -> Result<CallAnswer, Refusal> {
@@ -177,6 +176,7 @@
     let mut execution = RequestExecution {
         node,
         balancer,
+        latencies,
         route: &route,
         service,
         route_name,
@@ -203,6 +203,7 @@
         tried: Vec::new(),
         busy: Vec::new(),
         suspects: Vec::new(),
+        hedges_left: MAX_HEDGES,
         trace,
     };
     let result = execution.run_attempts().await;
--- a/crates/node/src/loads.rs
+++ b/crates/node/src/loads.rs
@@ -170,17 +170,23 @@
 /// the path quality.
 pub(crate) struct InFlightCall<'a> {
     node: &'a Node,
-    endpoint: &'a EndpointName,
+    endpoint: EndpointName,
     sent_at: Time,
     outcome: PathOutcome,
 }
 
 impl<'a> InFlightCall<'a> {
-    pub(crate) fn start(node: &'a Node, endpoint: &'a EndpointName, now: Time) -> InFlightCall<'a> {
+    pub(crate) fn start(node: &'a Node, endpoint: &EndpointName, now: Time) -> InFlightCall<'a> {
         node.loads.record_sent(endpoint, now);
+        let endpoint = endpoint.clone();
         InFlightCall { node, endpoint, sent_at: now, outcome: PathOutcome::Neutral }
     }
 
+    /// The node that the call was sent from.
+    pub(crate) fn node(&self) -> &'a Node {
+        self.node
+    }
+
     pub(crate) fn finish(mut self, outcome: PathOutcome) {
         self.outcome = outcome;
     }
@@ -188,7 +194,7 @@
 
 impl Drop for InFlightCall<'_> {
     fn drop(&mut self) {
-        self.node.loads.record_end(self.endpoint, self.sent_at, self.outcome, self.node.now());
+        self.node.loads.record_end(&self.endpoint, self.sent_at, self.outcome, self.node.now());
     }
 }
 
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -21,6 +21,7 @@
     pub(crate) registry: Arc<Registry>,
     pub(crate) requests: Family<RequestEndLabel, Counter>,
     pub(crate) retries: Counter,
+    pub(crate) hedges: Counter,
     pub(crate) fences: Counter,
     pub(crate) suspicions: Counter,
     pub(crate) request_seconds: Histogram,
@@ -40,6 +41,7 @@
             registry: Arc::default(),
             requests: Family::default(),
             retries: Counter::default(),
+            hedges: Counter::default(),
             fences: Counter::default(),
             suspicions: Counter::default(),
             request_seconds: Histogram::new(exponential_buckets(0.001, 2.0, 14)),
@@ -61,6 +63,7 @@
         let r = registry.sub_registry_with_prefix("zinniacross");
         r.register("requests", "Requests by outcome", self.requests.clone());
         r.register("retries", "Attempts after the first one of a request", self.retries.clone());
+        r.register("hedges", "Second attempts started beside a running one", self.hedges.clone());
         r.register("fences", "Attempts fenced after an unknown outcome", self.fences.clone());
         r.register(
             "suspicions",
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -2,9 +2,11 @@
 //!
 //! * [`Balancer`] chooses the endpoint with the lowest expected wait.
 //! * [`CallAttempts`] decides whether a call is retried after an attempt has ended.
+//! * [`HedgePolicy`] decides when an idempotent call gets a second attempt beside a running one.
 //! * [`UnsentRetryLimiter`] limits the retries after attempts that put no load on an upstream.
 
 mod balancer;
+mod hedging;
 mod load_view;
 mod random;
 mod retry;
@@ -13,6 +15,7 @@
 pub use balancer::{
     Balancer, BalancerParams, Candidate, Candidates, Choice, KnownLoad, Reason, Stage,
 };
+pub use hedging::HedgePolicy;
 pub use load_view::LoadView;
 pub use random::{RandomSource, SplitMix64};
 pub use retry::{
--- a/crates/routing/src/retry.rs
+++ b/crates/routing/src/retry.rs
@@ -233,6 +233,14 @@
         }
     }
 
+    /// Whether a second attempt may start beside a running one. Both count towards
+    /// [`RetryParams::max_attempts`].
+    pub fn may_hedge(&self, body: BodyState) -> bool {
+        self.params.idempotence == Idempotence::Idempotent
+            && body == BodyState::Replayable
+            && self.reached.saturating_add(1) < self.params.max_attempts
+    }
+
     /// Records the end of an attempt and returns the next action.
     pub fn on_attempt_end(
         &mut self,
