Report overdue calls that are cancelled, and count their late success

Cause: a second attempt cancels the first one, often shortly before or after it becomes overdue. The guard of the first endpoint then learned nothing of how long it had taken.

--- a/crates/health/src/endpoint.rs
+++ b/crates/health/src/endpoint.rs
@@ -233,7 +233,7 @@
             CallResult::Overdue => self.record_failure(now, SLOW_CALL_SCORE),
             CallResult::SuccessAfterOverdue(latency) => {
                 self.observe_latency(route, latency);
-                None
+                self.record_success(now)
             }
             CallResult::Shed | CallResult::DependencyFailed => None,
             CallResult::ServerError => self.record_failure(now, SERVER_ERROR_SCORE),
--- a/crates/node/src/upstream_call.rs
+++ b/crates/node/src/upstream_call.rs
@@ -30,12 +30,12 @@
     let Some(req) = upstream_request(node, &call, addr, body, call.start_by.since(started)) else {
         return refused(node, &call, ResultCode::MalformedRequest);
     };
-    let deadline = node.clock.to_instant(call.start_by);
     let reuse = node.guard.connection_reuse(&call.endpoint, started);
     let sent = node.upstreams.send(addr, req, reuse);
-    let mut is_overdue = false;
-    let watched = report_overdue(node, &call, started, sent, &mut is_overdue);
-    let result = timeout_at(deadline, watched).await.ok();
+    let mut watch = OverdueWatch::start(node, &call, started);
+    let result = watch.wait(sent).await;
+    let is_overdue = watch.state == WatchState::Overdue;
+    drop(watch);
     let running = RunningCall { call: &call, addr, started, is_overdue };
     match classify(node, &running, result) {
         Outcome::Answer(answer) => answer_reply(node, &call, answer, active, started),
@@ -53,23 +53,59 @@
     Failed(ResultCode),
 }
 
-/// Waits for the response to a call. If the call becomes overdue, reports it to the health of the
-/// endpoint and sets `is_overdue`.
-async fn report_overdue<T>(
-    node: &Node,
-    call: &Call,
+/// Reports a call to the health of its endpoint when it becomes overdue.
+struct OverdueWatch<'a> {
+    node: &'a Node,
+    call: &'a Call,
     started: Time,
-    sent: impl Future<Output = T>,
-    is_overdue: &mut bool,
-) -> T {
-    tokio::pin!(sent);
-    let overdue_at = node.clock.to_instant(started + node.guard.overdue_after(call));
-    if let Ok(result) = timeout_at(overdue_at, sent.as_mut()).await {
-        return result;
+    overdue_at: Time,
+    state: WatchState,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum WatchState {
+    Running,
+    Overdue,
+    Ended,
+}
+
+impl<'a> OverdueWatch<'a> {
+    fn start(node: &'a Node, call: &'a Call, started: Time) -> OverdueWatch<'a> {
+        let overdue_at = started + node.guard.overdue_after(call);
+        OverdueWatch { node, call, started, overdue_at, state: WatchState::Running }
+    }
+
+    /// Waits for the response to the call. Returns `None` if the deadline of the call passes first.
+    async fn wait<T>(&mut self, sent: impl Future<Output = T>) -> Option<T> {
+        tokio::pin!(sent);
+        let clock = &self.node.clock;
+        let deadline = clock.to_instant(self.call.start_by);
+        let overdue_at = clock.to_instant(self.overdue_at).min(deadline);
+        let mut result = timeout_at(overdue_at, sent.as_mut()).await.ok();
+        if result.is_none() && overdue_at < deadline {
+            self.report_overdue();
+            result = timeout_at(deadline, sent).await.ok();
+        }
+        if self.state == WatchState::Running {
+            self.state = WatchState::Ended;
+        }
+        result
+    }
+
+    fn report_overdue(&mut self) {
+        self.state = WatchState::Overdue;
+        self.node.guard.record_result(self.node, self.call, self.started, CallResult::Overdue);
+    }
+}
+
+impl Drop for OverdueWatch<'_> {
+    fn drop(&mut self) {
+        // The entry has cancelled the call, perhaps because a second attempt was quicker. How long
+        // this one has taken until now would otherwise stay unknown.
+        if self.state == WatchState::Running && self.node.now() >= self.overdue_at {
+            self.report_overdue();
+        }
     }
-    *is_overdue = true;
-    node.guard.record_result(node, call, started, CallResult::Overdue);
-    sent.await
 }
 
 /// A call that was sent to its upstream.
