Handle requests that are sent ahead side by side

Responses keep the order of the requests. A request that may not be repeated waits until all before it are answered, because a response that closes the connection makes the caller send everything behind it again. A graceful stop and the eviction of idle connections answer what has been started before they close; nothing starts behind a head that ends the connection. A caller that leaves cancels all of its requests.

--- a/crates/caller/src/framing.rs
+++ b/crates/caller/src/framing.rs
@@ -7,22 +7,27 @@
 //! rejected one with [`SUBSTITUTE_HEAD`], for which the service returns the numbered result code.
 //! It tracks the framing of bodies to find the start of the next head. The cost is a second parse
 //! of each head and of the chunk sizes; bodies of known length are not copied.
+//!
+//! While a request is in progress, [`CheckedStream::poll_read_ahead`] reads the heads that the
+//! caller sends behind it, which hyper only does once the response is complete.
 
 use std::future::Future;
 use std::io;
 use std::pin::Pin;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::{Buf, BytesMut};
-use hyper::http::{HeaderName, HeaderValue, Method, Uri};
+use hyper::http::request::Parts;
+use hyper::http::{HeaderName, HeaderValue, Method, Request, Uri, header};
 use model::ResultCode;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::Sleep;
 
 use crate::chunks::ChunkScanner;
+use crate::early::EarlyRequests;
 
 /// Maximum number of headers in a request.
 pub(crate) const MAX_HEADERS: usize = 100;
@@ -39,6 +44,25 @@
 /// Head that is passed to hyper in place of a rejected one.
 const SUBSTITUTE_HEAD: &[u8] = b"GET / HTTP/1.1\r\nconnection: close\r\n\r\n";
 
+/// Maximum number of unprocessed bytes that are read ahead on a connection.
+const MAX_READ_AHEAD_BYTES: usize = 16 * 1024;
+
+/// A head without a body that was read while an earlier request was in progress.
+pub(crate) struct AheadHead {
+    /// Number of the request on its connection, counted from 1.
+    pub(crate) number: u64,
+    pub(crate) parts: Parts,
+}
+
+/// Result of [`CheckedStream::poll_read_ahead`].
+#[derive(Debug, PartialEq, Eq)]
+pub(crate) enum ReadAheadState {
+    /// The connection is open.
+    Open,
+    /// The caller has closed the connection.
+    Closed,
+}
+
 /// Number and result code of the rejected request of a connection. There is at most one, because a
 /// rejection ends the connection.
 #[derive(Debug, Default)]
@@ -61,6 +85,7 @@
     stream: TcpStream,
     max_head_bytes: usize,
     rejected_head: Arc<RejectedHead>,
+    early: Arc<EarlyRequests>,
     state: State,
     /// Bytes that were read from the connection and not yet passed to hyper.
     buf: BytesMut,
@@ -68,6 +93,15 @@
     checked_bytes: usize,
     /// Number of heads passed to hyper, including a substitute.
     heads_passed: u64,
+    /// Unvalidated bytes at the start of `buf` that [`CheckedStream::scan_ahead`] has recognized as
+    /// complete heads without bodies, and the number of these heads.
+    scanned: (usize, u64),
+    /// Length of `buf` when it was last searched for complete heads.
+    scanned_buf_bytes: usize,
+    /// Whether a head has been seen behind which no other one may be processed early.
+    ends_scan: bool,
+    /// Heads found by [`CheckedStream::scan_ahead`].
+    ahead: Vec<AheadHead>,
     /// Timer that limits the wait for the caller to close its side.
     linger: Option<Pin<Box<Sleep>>>,
 }
@@ -84,6 +118,14 @@
     Rejected,
 }
 
+/// What a valid head says about the connection.
+struct CheckedHead {
+    framing: Framing,
+    /// Whether the connection ends or changes its protocol with this request, so that no other
+    /// request follows.
+    ends_connection: bool,
+}
+
 /// How the body of a request is framed.
 #[derive(Debug, PartialEq, Eq)]
 enum Framing {
@@ -96,15 +138,21 @@
         stream: TcpStream,
         max_head_bytes: usize,
         rejected_head: Arc<RejectedHead>,
+        early: Arc<EarlyRequests>,
     ) -> Self {
         CheckedStream {
             stream,
             max_head_bytes,
             rejected_head,
+            early,
             state: State::Head(0),
             buf: BytesMut::new(),
             checked_bytes: 0,
             heads_passed: 0,
+            scanned: (0, 0),
+            scanned_buf_bytes: 0,
+            ends_scan: false,
+            ahead: Vec::new(),
             linger: None,
         }
     }
@@ -155,12 +203,16 @@
             self.state = State::Head(self.buf.len());
             return;
         };
-        match parse_framing(&self.buf[..end]) {
+        match check_head(&self.buf[..end]) {
             Err(code) => self.reject(code),
-            Ok(framing) => {
+            Ok(head) => {
                 self.heads_passed += 1;
                 self.checked_bytes = end;
-                self.state = match framing {
+                match self.scanned {
+                    (0, _) => self.found_head(self.heads_passed, 0, end, &head),
+                    (bytes, heads) => self.scanned = (bytes - end, heads - 1),
+                }
+                self.state = match head.framing {
                     Framing::ContentLength(0) => State::Head(0),
                     Framing::ContentLength(bytes) => State::SizedBody(bytes),
                     Framing::Chunked => State::ChunkedBody(ChunkScanner::default()),
@@ -169,6 +221,59 @@
         }
     }
 
+    /// Reads heads behind the request in progress, if the stream is at the start of a head. They are
+    /// then available from [`CheckedStream::take_ahead`].
+    pub(crate) fn poll_read_ahead(&mut self, cx: &mut Context<'_>) -> ReadAheadState {
+        while matches!(self.state, State::Head(_)) {
+            self.scan_ahead();
+            if self.buf.len() >= MAX_READ_AHEAD_BYTES {
+                break;
+            }
+            match poll_fill_buffer(&mut self.stream, cx, &mut self.buf) {
+                Poll::Pending => break,
+                Poll::Ready(Ok(0) | Err(_)) => return ReadAheadState::Closed,
+                Poll::Ready(Ok(_)) => {}
+            }
+        }
+        ReadAheadState::Open
+    }
+
+    /// Returns the heads that were found since the last call.
+    pub(crate) fn take_ahead(&mut self) -> Vec<AheadHead> {
+        std::mem::take(&mut self.ahead)
+    }
+
+    /// Searches the unvalidated bytes for complete heads without bodies. It stops at any other bytes,
+    /// which are validated once hyper reads them.
+    fn scan_ahead(&mut self) {
+        let is_scanned = self.scanned_buf_bytes == self.buf.len();
+        self.scanned_buf_bytes = self.buf.len();
+        while !self.ends_scan && !is_scanned {
+            let (bytes, heads) = self.scanned;
+            let start = self.checked_bytes + bytes;
+            let Ok(Some(length)) = find_head_end(&self.buf[start..], 0) else { return };
+            let end = start + length;
+            let Ok(head) = check_head(&self.buf[start..end]) else { return };
+            if length > self.max_head_bytes || head.framing != Framing::ContentLength(0) {
+                return;
+            }
+            self.scanned = (bytes + length, heads + 1);
+            let number = self.heads_passed + heads + 1;
+            self.found_head(number, start, end, &head);
+        }
+    }
+
+    /// Keeps a head that was found in the buffer at `start..end`, if it can be processed early.
+    fn found_head(&mut self, number: u64, start: usize, end: usize, head: &CheckedHead) {
+        self.ends_scan |= head.ends_connection;
+        let may_start_early = !self.ends_scan
+            && head.framing == Framing::ContentLength(0)
+            && self.early.is_in_progress();
+        if may_start_early && let Some(parts) = parse_parts(&self.buf[start..end]) {
+            self.ahead.push(AheadHead { number, parts });
+        }
+    }
+
     fn reject(&mut self, code: ResultCode) {
         self.heads_passed += 1;
         self.rejected_head.set(self.heads_passed, code);
@@ -179,13 +284,33 @@
     }
 }
 
-impl AsyncRead for CheckedStream {
+/// A [`CheckedStream`] that hyper and the read-ahead of its connection share.
+#[derive(Clone)]
+pub(crate) struct SharedStream(Arc<Mutex<CheckedStream>>);
+
+impl SharedStream {
+    pub(crate) fn new(stream: CheckedStream) -> SharedStream {
+        SharedStream(Arc::new(Mutex::new(stream)))
+    }
+
+    pub(crate) fn lock(&self) -> MutexGuard<'_, CheckedStream> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl AsyncRead for SharedStream {
     fn poll_read(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         out: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let this = self.get_mut();
+        self.lock().poll_read(cx, out)
+    }
+}
+
+impl CheckedStream {
+    fn poll_read(&mut self, cx: &mut Context<'_>, out: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        let this = self;
         loop {
             if this.checked_bytes == 0 {
                 this.check_next()?;
@@ -244,13 +369,13 @@
     read.map_ok(|()| count)
 }
 
-impl AsyncWrite for CheckedStream {
+impl AsyncWrite for SharedStream {
     fn poll_write(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().stream).poll_write(cx, buf)
+        Pin::new(&mut self.lock().stream).poll_write(cx, buf)
     }
 
     fn poll_write_vectored(
@@ -258,36 +383,41 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().stream).poll_write_vectored(cx, bufs)
+        Pin::new(&mut self.lock().stream).poll_write_vectored(cx, bufs)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        self.lock().stream.is_write_vectored()
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_flush(cx)
+        Pin::new(&mut self.lock().stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.lock().poll_shutdown(cx)
     }
+}
 
+impl CheckedStream {
     /// Closing a socket with unread bytes resets the connection, and the caller may lose the
     /// response. The rest of an unfinished request is therefore read and discarded, for at most
     /// [`LINGER_TIMEOUT`].
-    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let this = self.get_mut();
-        let Some(linger) = &mut this.linger else {
-            ready!(Pin::new(&mut this.stream).poll_shutdown(cx))?;
-            if matches!(this.state, State::Head(_)) {
+    fn poll_shutdown(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.linger.is_none() {
+            ready!(Pin::new(&mut self.stream).poll_shutdown(cx))?;
+            if matches!(self.state, State::Head(_)) {
                 return Poll::Ready(Ok(()));
             }
-            this.linger = Some(Box::pin(tokio::time::sleep(LINGER_TIMEOUT)));
-            return Pin::new(this).poll_shutdown(cx);
-        };
+        }
+        let linger =
+            self.linger.get_or_insert_with(|| Box::pin(tokio::time::sleep(LINGER_TIMEOUT)));
         if linger.as_mut().poll(cx).is_ready() {
             return Poll::Ready(Ok(()));
         }
         loop {
-            this.buf.clear();
-            if ready!(poll_fill_buffer(&mut this.stream, cx, &mut this.buf))? == 0 {
+            self.buf.clear();
+            if ready!(poll_fill_buffer(&mut self.stream, cx, &mut self.buf))? == 0 {
                 return Poll::Ready(Ok(()));
             }
         }
@@ -311,7 +441,24 @@
     Ok(None)
 }
 
-fn parse_framing(head: &[u8]) -> Result<Framing, ResultCode> {
+/// Parses a valid head.
+fn parse_parts(head: &[u8]) -> Option<Parts> {
+    let mut lines = head.split(|byte| *byte == b'\n').map(|line| line.trim_ascii_end());
+    let mut request_line = lines.next()?.split(|byte| *byte == b' ');
+    let method = Method::from_bytes(request_line.next()?).ok()?;
+    let uri = Uri::try_from(request_line.next()?).ok()?;
+    let mut req = Request::new(());
+    *req.method_mut() = method;
+    *req.uri_mut() = uri;
+    for line in lines.take_while(|line| !line.is_empty()) {
+        let (name, value) = parse_header_line(line)?;
+        req.headers_mut().append(name, HeaderValue::from_bytes(value).ok()?);
+    }
+    Some(req.into_parts().0)
+}
+
+/// Validates a head.
+fn check_head(head: &[u8]) -> Result<CheckedHead, ResultCode> {
     let malformed = ResultCode::MalformedRequest;
     let text = head.strip_suffix(b"\r\n\r\n").ok_or(malformed)?;
     let mut lines = text.split(|byte| *byte == b'\n').map(|line| {
@@ -321,6 +468,7 @@
     let is_http_11 = parse_request_line(lines.next().ok_or(malformed)??)?;
     let mut length = None;
     let mut chunked = false;
+    let mut ends_connection = !is_http_11;
     for (index, line) in lines.enumerate() {
         if index == MAX_HEADERS {
             return Err(ResultCode::HeadTooLarge);
@@ -329,6 +477,11 @@
         if name == "content-length" && length.replace(parse_content_length(value)?).is_some() {
             return Err(malformed);
         }
+        ends_connection |= match name {
+            header::CONNECTION => !value.eq_ignore_ascii_case(b"keep-alive"),
+            header::UPGRADE | header::EXPECT => true,
+            _ => false,
+        };
         if name == "transfer-encoding" {
             if chunked || !is_http_11 || !value.eq_ignore_ascii_case(b"chunked") {
                 return Err(malformed);
@@ -336,11 +489,12 @@
             chunked = true;
         }
     }
-    match (length, chunked) {
-        (Some(_), true) => Err(malformed),
-        (None, true) => Ok(Framing::Chunked),
-        (length, false) => Ok(Framing::ContentLength(length.unwrap_or(0))),
-    }
+    let framing = match (length, chunked) {
+        (Some(_), true) => return Err(malformed),
+        (None, true) => Framing::Chunked,
+        (length, false) => Framing::ContentLength(length.unwrap_or(0)),
+    };
+    Ok(CheckedHead { framing, ends_connection })
 }
 
 /// Validates the request line and returns whether the version is HTTP/1.1.
--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -4,6 +4,7 @@
 //! the API key, and protects the process from slow and malicious callers.
 
 mod chunks;
+mod early;
 mod framing;
 mod idle;
 mod sanitize;
--- a/crates/caller/src/server.rs
+++ b/crates/caller/src/server.rs
@@ -4,10 +4,11 @@
 use std::future::Future;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use hyper::body::{Body, Incoming};
+use hyper::http::request::Parts;
 use hyper::http::{HeaderMap, Method, Request, Response, header};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -21,7 +22,10 @@
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
 use tokio::time::{sleep, timeout};
 
-use crate::framing::{CheckedStream, MAX_HEADERS, RejectedHead};
+use crate::early::EarlyRequests;
+use crate::framing::{
+    AheadHead, CheckedStream, MAX_HEADERS, ReadAheadState, RejectedHead, SharedStream,
+};
 use crate::idle::{ConnectionActivity, Eviction, IdleConnections};
 use crate::sanitize::{PresentedKey, sanitize};
 use crate::{error_answer, error_body};
@@ -91,6 +95,12 @@
 pub trait CallerHandler: Send + Sync {
     /// Handles one request.
     fn handle(&self, req: CallerRequest) -> PendingAnswer;
+    /// Whether a request that was sent behind another one may be handled before the response to that
+    /// one is complete. If the connection ends first, the request is cancelled, and the caller sends
+    /// it again even if it has run.
+    fn may_start_early(&self, _method: &Method, _host: &str, _target: &str) -> bool {
+        false
+    }
     /// Called when the server rejects a request before it reaches [`CallerHandler::handle`].
     fn refused(&self, id: &RequestId, code: ResultCode);
 }
@@ -194,24 +204,30 @@
 ) {
     let ConnectionContext { idle, config, handler, mut shutdown, .. } = context;
     let _ = stream.set_nodelay(true);
-    let (limits, names) = (config.body, config.names);
     let rejected_head = Arc::new(RejectedHead::default());
-    let stream = CheckedStream::new(stream, config.max_head_bytes, Arc::clone(&rejected_head));
-    let request_count = AtomicU64::new(0);
-    let stopping = shutdown.clone();
+    let early = Arc::<EarlyRequests>::default();
+    let (max_head_bytes, rejected) = (config.max_head_bytes, Arc::clone(&rejected_head));
+    let stream = CheckedStream::new(stream, max_head_bytes, rejected, Arc::clone(&early));
+    let stream = SharedStream::new(stream);
+    let requests = Arc::new(ConnectionRequests {
+        limits: config.body,
+        names: config.names,
+        handler,
+        early: Arc::clone(&early),
+        stopping: shutdown.clone(),
+    });
     let activity = ConnectionActivity::new(idle);
     let evicted = activity.eviction_signal();
+    let service_requests = Arc::clone(&requests);
     let service = service_fn(move |req| {
-        let request_guard = Box::new(activity.begin_request());
-        let handler = Arc::clone(&handler);
-        let rejection = rejected_head.code_for(request_count.fetch_add(1, Ordering::Relaxed) + 1);
-        let stopping = stopping.clone();
+        let activity_guard = activity.begin_request();
+        let requests = Arc::clone(&service_requests);
+        let number = requests.early.start_next();
+        let guards = Box::new((activity_guard, requests.early.finish_guard()));
+        let rejection = rejected_head.code_for(number);
         async move {
-            let mut response = respond(req, rejection, limits, names, &*handler).await;
-            if *stopping.borrow() {
-                set_connection_close(&mut response);
-            }
-            Ok::<_, Infallible>(response.map(|body| body.hold(request_guard)))
+            let response = requests.respond(req, number, rejection).await;
+            Ok::<_, Infallible>(response.map(|body| body.hold(guards)))
         }
     });
     let conn = http1::Builder::new()
@@ -219,40 +235,158 @@
         .header_read_timeout(config.idle_timeout)
         .max_buf_size(config.max_head_bytes.max(HYPER_MIN_BUFFER_BYTES))
         .max_headers(MAX_HEADERS)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(stream.clone()), service);
     tokio::pin!(conn);
-    let grace = tokio::select! {
-        _ = conn.as_mut() => return,
-        _ = shutdown.wait_for(|stop| *stop) => SHUTDOWN_GRACE,
-        () = evicted.notified() => Duration::ZERO,
-    };
-    if timeout(grace, conn.as_mut()).await.is_ok() {
-        return;
+    {
+        let close_soon = async {
+            let grace = tokio::select! {
+                _ = shutdown.wait_for(|stop| *stop) => SHUTDOWN_GRACE,
+                () = evicted.notified() => Duration::ZERO,
+            };
+            sleep(grace).await;
+            // Requests that were started early are answered first.
+            early.wait_until_empty().await;
+        };
+        tokio::pin!(close_soon);
+        let served = std::future::poll_fn(|cx| {
+            if conn.as_mut().poll(cx).is_ready() {
+                return Poll::Ready(ConnectionState::Ended);
+            }
+            if requests.poll_read_ahead(&stream, cx) == ReadAheadState::Closed {
+                return Poll::Ready(ConnectionState::Ended);
+            }
+            close_soon.as_mut().poll(cx).map(|()| ConnectionState::Closing)
+        });
+        if served.await == ConnectionState::Ended {
+            return;
+        }
     }
     conn.as_mut().graceful_shutdown();
     let _ = conn.await;
 }
 
-async fn respond(
-    req: Request<Incoming>,
-    rejection: Option<ResultCode>,
+/// Why a connection is no longer served as before.
+#[derive(PartialEq, Eq)]
+enum ConnectionState {
+    /// The caller or the server has closed it.
+    Ended,
+    /// It closes after the request in progress.
+    Closing,
+}
+
+/// The requests of one connection, and how they are handled.
+struct ConnectionRequests {
     limits: BodyLimits,
     names: HeaderNames,
-    handler: &dyn CallerHandler,
-) -> Response<Payload> {
-    let (head, body) = req.into_parts();
-    let id = request_id_or_generate(&head.headers, &names);
-    let request = rejection.map_or_else(|| build_request(&id, head, body, limits, &names), Err);
-    let mut response = match request {
-        Ok(req) => handler.handle(req).await,
-        Err(code) => {
-            handler.refused(&id, code);
-            let mut response = error_answer(code.into(), &id);
-            // The body was not read, so the connection can't be reused for another request.
+    handler: Arc<dyn CallerHandler>,
+    early: Arc<EarlyRequests>,
+    stopping: Shutdown,
+}
+
+impl ConnectionRequests {
+    /// Responds to the request with this number on its connection.
+    async fn respond(
+        &self,
+        req: Request<Incoming>,
+        number: u64,
+        rejection: Option<ResultCode>,
+    ) -> Response<Payload> {
+        let early = match self.early.take(number) {
+            Some(task) => task.response().await,
+            None => None,
+        };
+        let mut response = match early {
+            Some(response) => response,
+            None => {
+                let (head, body) = req.into_parts();
+                let body_length = body.size_hint().exact();
+                let exceeds_limit = body_length.is_some_and(|bytes| bytes > self.limits.max_bytes);
+                let rejection = rejection.or(exceeds_limit.then_some(ResultCode::BodyTooLarge));
+                match rejection {
+                    None => {
+                        let body = Payload::receive(body, self.limits);
+                        respond(&*self.handler, &self.names, head, body_length, body).await
+                    }
+                    Some(code) => {
+                        let id = request_id_or_generate(&head.headers, &self.names);
+                        refuse(&*self.handler, &self.names, &id, code)
+                    }
+                }
+            }
+        };
+        // A response that closes the connection discards the requests behind it, so it has to be the
+        // last one of those that have been started.
+        if *self.stopping.borrow() && self.early.is_empty() {
             set_connection_close(&mut response);
-            response
         }
-    };
+        response
+    }
+
+    /// Reads the requests that were sent behind the one in progress, and starts those that may be
+    /// started early.
+    fn poll_read_ahead(&self, stream: &SharedStream, cx: &mut Context<'_>) -> ReadAheadState {
+        if !self.early.is_in_progress() {
+            return ReadAheadState::Open;
+        }
+        let (state, heads) = {
+            let mut stream = stream.lock();
+            (stream.poll_read_ahead(cx), stream.take_ahead())
+        };
+        for AheadHead { number, parts } in heads {
+            self.start_early(number, parts);
+        }
+        state
+    }
+
+    fn start_early(&self, number: u64, head: Parts) {
+        let target = head.uri.path_and_query().map_or("/", |target| target.as_str());
+        if *self.stopping.borrow()
+            || !self.early.may_start(number)
+            || !self.handler.may_start_early(&head.method, &request_host(&head), target)
+        {
+            return;
+        }
+        let (handler, names) = (Arc::clone(&self.handler), self.names);
+        let task = tokio::spawn(async move {
+            respond(&*handler, &names, head, Some(0), Payload::empty()).await
+        });
+        self.early.insert(number, task);
+    }
+}
+
+async fn respond(
+    handler: &dyn CallerHandler,
+    names: &HeaderNames,
+    head: Parts,
+    body_length: Option<u64>,
+    body: Payload,
+) -> Response<Payload> {
+    let id = request_id_or_generate(&head.headers, names);
+    match build_request(&id, head, body_length, body, names) {
+        Ok(req) => with_request_id(handler.handle(req).await, &id, names),
+        Err(code) => refuse(handler, names, &id, code),
+    }
+}
+
+/// Rejects a request before it reaches the handler.
+fn refuse(
+    handler: &dyn CallerHandler,
+    names: &HeaderNames,
+    id: &RequestId,
+    code: ResultCode,
+) -> Response<Payload> {
+    handler.refused(id, code);
+    let mut response = error_answer(code.into(), id);
+    // The body was not read, so the connection can't be reused for another request.
+    set_connection_close(&mut response);
+    with_request_id(response, id, names)
+}
+
+fn with_request_id(
+    mut response: Response<Payload>,
+    id: &RequestId,
+    names: &HeaderNames,
+) -> Response<Payload> {
     if let Ok(value) = header::HeaderValue::from_str(id.as_str()) {
         response.headers_mut().insert(names.request_id, value);
     }
@@ -268,15 +402,11 @@
 /// Validates a head and builds the request that is passed to the handler.
 fn build_request(
     id: &RequestId,
-    head: hyper::http::request::Parts,
-    body: Incoming,
-    limits: BodyLimits,
+    head: Parts,
+    body_length: Option<u64>,
+    body: Payload,
     names: &HeaderNames,
 ) -> Result<CallerRequest, ResultCode> {
-    let body_length = body.size_hint().exact();
-    if body_length.is_some_and(|bytes| bytes > limits.max_bytes) {
-        return Err(ResultCode::BodyTooLarge);
-    }
     let host = request_host(&head);
     let timeout_header = head.headers.get(names.deadline_ms).filter(|_| names.trusts_caller);
     let timeout_ms = timeout_header.and_then(|value| value.to_str().ok()?.trim().parse().ok());
@@ -290,7 +420,7 @@
         headers: sanitized.headers,
         key: sanitized.key,
         body_length,
-        body: Payload::receive(body, limits),
+        body,
     })
 }
 
@@ -315,7 +445,7 @@
 }
 
 /// Returns the requested host in lower case, without user information and port.
-fn request_host(head: &hyper::http::request::Parts) -> Box<str> {
+fn request_host(head: &Parts) -> Box<str> {
     let authority = head.uri.authority().map(|authority| authority.as_str());
     let host_header = || head.headers.get(header::HOST).and_then(|value| value.to_str().ok());
     let host = authority.or_else(host_header).unwrap_or_default();
--- a/crates/caller/tests/server/common.rs
+++ b/crates/caller/tests/server/common.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use caller::{CallerConfig, CallerHandler, CallerRequest, PendingAnswer, Shutdown, serve};
-use hyper::http::{HeaderValue, Response, StatusCode};
+use hyper::http::{HeaderValue, Method, Response, StatusCode};
 use model::{RequestId, ResultCode};
 use payload::{BodyCut, BodyLimits, Payload};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -23,13 +23,14 @@
 const RESPONSE_CHUNK_BYTES: usize = 16 * 1024;
 
 /// Responds by path: `/echo` reports the received request, `/hang` never responds, `/slow` responds
-/// after 300 ms, `/chunked/N` and `/known/N` stream N bytes, `/cut` and `/cut-known` abort the
+/// after 300 ms, `/after/N` responds after N ms with its own path, `/chunked/N` and `/known/N` stream N bytes, `/cut` and `/cut-known` abort the
 /// body.
 #[derive(Default)]
 pub struct Handler {
     pub refused: Mutex<Vec<u16>>,
     pub served: AtomicUsize,
     pub dropped: AtomicUsize,
+    pub finished: AtomicUsize,
     pub chunks_sent: AtomicUsize,
 }
 
@@ -164,11 +165,23 @@
                         streamed_response(handler, RESPONSE_CHUNK_BYTES, Some(BodyCut::SenderLost));
                     with_content_length(response, 2 * RESPONSE_CHUNK_BYTES)
                 }
-                path => response_by_size(handler, path),
+                path => match path.strip_prefix("/after/").and_then(|ms| ms.parse().ok()) {
+                    Some(delay_ms) => {
+                        let _drop_counter = DropCounter(Arc::clone(&handler));
+                        tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+                        handler.finished.fetch_add(1, Ordering::SeqCst);
+                        text_response(200, &req.target)
+                    }
+                    None => response_by_size(handler, path),
+                },
             }
         })
     }
 
+    fn may_start_early(&self, method: &Method, _host: &str, _target: &str) -> bool {
+        method == Method::GET
+    }
+
     fn refused(&self, _id: &RequestId, code: ResultCode) {
         self.0.refused.lock().unwrap().push(code.number());
     }
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use caller::{CallerHandler, CallerRequest, PendingAnswer, PresentedKey, Refusal, error_answer};
 use config::RouteEntry;
-use hyper::http::{HeaderName, HeaderValue, Response, StatusCode};
+use hyper::http::{HeaderName, HeaderValue, Method, Response, StatusCode};
 use model::{
     Access, Account, AccountName, KeyId, Outcome, Percent, RequestId, ResultCode, RouteName,
     ServiceName, Time,
@@ -57,6 +57,13 @@
         Box::pin(async move { handle_request(entry, req).await })
     }
 
+    fn may_start_early(&self, method: &Method, host: &str, target: &str) -> bool {
+        let config = read(&self.node.config);
+        config
+            .route(host, target)
+            .is_some_and(|route| route.policy().is_idempotent(method.as_str()))
+    }
+
     fn refused(&self, id: &RequestId, code: ResultCode) {
         RequestTrace::new(&self.node, id.clone(), "", "", "").finish(RequestEnd::Coded(code));
     }
