Bound responses that never end, in their heads and in time

Cause: a response whose body has no end was passed on until the caller left; nothing else ended it, although a cut for the deadline was defined. The head of a response could grow to 400 KB, hyper's default, for each connection.

Now a body that is still streamed 30 s after the deadline of its call is cut, visibly, and the read buffer of a connection to an upstream has 64 KB, which bounds heads as well as the memory of a streamed response. A head that arrives in time may still be followed by a late body: large responses on slow links are useful after the deadline.

Ruled out: a cut at the deadline, which would break off downloads that are under way.

--- a/crates/node/src/upstream_call.rs
+++ b/crates/node/src/upstream_call.rs
@@ -154,6 +154,11 @@
 /// take 50 to 300 ms.
 const HANG_THRESHOLD: Duration = Duration::from_millis(900);
 
+/// Time after the deadline of a call for which a response whose head arrived in time may still be
+/// streamed. A large response on a slow link is useful when it is late, but bytes that never end must
+/// not occupy a slot for good.
+const MAX_LATE_BODY_TIME: Duration = Duration::from_secs(30);
+
 /// Checks that a response was produced by the upstream itself, is valid and belongs to the request.
 fn classify_answer(node: &Node, running: &RunningCall<'_>, answer: UpstreamAnswer) -> Outcome {
     let RunningCall { call, started, is_overdue, .. } = *running;
@@ -221,7 +226,10 @@
             drop(active);
             Payload::Full(bytes)
         }
-        rest => rest.hold(Box::new(active)),
+        rest => {
+            let body_deadline = node.clock.to_instant(call.start_by + MAX_LATE_BODY_TIME);
+            rest.cut_at(body_deadline).hold(Box::new(active))
+        }
     };
     let load = node.guard.load(&call.endpoint).or_else(|| removed_endpoint_load(call));
     let Some(load) = load else {
--- a/crates/payload/src/lib.rs
+++ b/crates/payload/src/lib.rs
@@ -15,6 +15,7 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use tokio::sync::mpsc;
+use tokio::time::{Instant, Sleep, sleep_until};
 
 /// Capacity of the channel between sender and receiver, in chunks. It is small, so that a slow
 /// receiver causes backpressure instead of filling memory.
@@ -129,6 +130,8 @@
     Chained(Bytes, Box<Payload>),
     /// A body with a value that is dropped when the body ends.
     Guarded(Box<Payload>, DropGuard),
+    /// A body that is cut when the timer expires.
+    Timed(Box<Payload>, Pin<Box<Sleep>>),
 }
 
 impl fmt::Debug for Payload {
@@ -174,6 +177,14 @@
         payload
     }
 
+    /// Ends a streamed body with [`BodyCut::DeadlinePassed`] if it is not complete at `deadline`.
+    pub fn cut_at(self, deadline: Instant) -> Payload {
+        match self {
+            Payload::Full(_) => self,
+            rest => Payload::Timed(Box::new(rest), Box::pin(sleep_until(deadline))),
+        }
+    }
+
     /// Drops `guard` when the body ends or is dropped. For a buffered body, drops it immediately.
     pub fn hold(self, guard: DropGuard) -> Payload {
         match self {
@@ -213,6 +224,18 @@
                 }
                 next
             }
+            Payload::Timed(rest, timer) => {
+                let next = match rest.poll_next(cx) {
+                    Poll::Pending => {
+                        timer.as_mut().poll(cx).map(|()| Some(Err(BodyCut::DeadlinePassed)))
+                    }
+                    next => next,
+                };
+                if matches!(next, Poll::Ready(None | Some(Err(_)))) {
+                    *self = Payload::empty();
+                }
+                next
+            }
             Payload::Stream(receiver) => {
                 let Poll::Ready(item) = receiver.rx.poll_recv(cx) else { return Poll::Pending };
                 match item {
--- a/crates/upstream/src/client.rs
+++ b/crates/upstream/src/client.rs
@@ -33,6 +33,10 @@
 /// such a response is truncated, the call can still be retried at another upstream.
 const MAX_BUFFERED_RESPONSE_BYTES: usize = 64 * 1024;
 
+/// Size of the read buffer of a connection, in bytes. A longer head is an error, and a response that is
+/// streamed occupies no more than this, however fast the upstream sends.
+const READ_BUFFER_BYTES: usize = 64 * 1024;
+
 /// Error for a call that ended without a complete response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum UpstreamError {
@@ -215,7 +219,9 @@
         Ok(Err(_)) | Err(_) => return Err(UpstreamError::ConnectFailed),
     };
     let _ = stream.set_nodelay(true);
-    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(READ_BUFFER_BYTES);
+    let handshake = builder.handshake(TokioIo::new(stream)).await;
     let (sender, conn) = handshake.map_err(|_| UpstreamError::ConnectFailed)?;
     tokio::spawn(conn);
     Ok(sender)
