Play odd entries, endless answers and late copies against real nodes

The stand-in of the platform keeps the content of objects as text, so that entries of other writers can hold anything that is JSON. Three reports of other operators are played against a node process:

* Odd entries in the store (20,000 levels of nesting, numbers beyond any type, ports out of range, an entry of 900 KB): a change behind them takes effect, each is logged and counted, the node is ready.
* Answers without end: each call gets a code that does not promise that it has not run, within its deadline; memory stays flat; the node serves again.
* A second copy of an answer that arrives after the next request was sent on the same connection: no caller gets it.

--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -32,7 +32,7 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use serde::{Deserialize, Serialize};
-use serde_json::{Value, json};
+use serde_json::value::RawValue;
 use tokio::net::TcpListener;
 use tokio::runtime::{Builder, Runtime};
 use tokio::sync::Notify;
@@ -257,12 +257,24 @@
     stop: Notify,
 }
 
+fn null() -> Box<RawValue> {
+    RawValue::from_string("null".to_owned()).expect("null is valid JSON")
+}
+
+#[derive(Serialize)]
+struct WatchPage {
+    events: Vec<state::Event>,
+    #[serde(rename = "currentRev")]
+    revision: u64,
+}
+
 #[derive(Deserialize)]
 struct WriteBody {
     #[serde(default)]
     meta: WriteMeta,
-    #[serde(default)]
-    spec: Value,
+    /// Kept as text, so that entries of other writers can hold anything that is JSON.
+    #[serde(default = "null")]
+    spec: Box<RawValue>,
 }
 
 #[derive(Deserialize, Default)]
@@ -366,7 +378,7 @@
             let left = deadline.saturating_duration_since(Instant::now());
             let events = state.events(kind, since);
             if !events.is_empty() || left.is_zero() {
-                let body = json!({"events": events, "currentRev": state.revision});
+                let body = WatchPage { events, revision: state.revision };
                 return json_answer(200, &body);
             }
             let woken = self.changed.wait_timeout(state, left);
@@ -379,7 +391,7 @@
             return self.lock().refuse(413, "invalid", "the body is too large");
         };
         let body = match (&call, serde_json::from_slice::<WriteBody>(bytes)) {
-            (Call::Delete(..), _) => WriteBody { meta: WriteMeta::default(), spec: Value::Null },
+            (Call::Delete(..), _) => WriteBody { meta: WriteMeta::default(), spec: null() },
             (_, Ok(body)) => body,
             (_, Err(err)) => return self.lock().refuse(400, "invalid", &err.to_string()),
         };
--- a/crates/standins/src/platform/state.rs
+++ b/crates/standins/src/platform/state.rs
@@ -3,7 +3,9 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Instant;
 
-use serde_json::{Value, json};
+use serde::Serialize;
+use serde_json::json;
+use serde_json::value::{RawValue, to_raw_value};
 
 use super::{Answer, Call, Counts, Faults, json_answer};
 
@@ -25,13 +27,45 @@
 #[derive(Clone)]
 pub(super) struct Stored {
     pub(super) revision: u64,
-    pub(super) spec: Value,
+    pub(super) spec: Box<RawValue>,
+}
+
+/// A change as a watch returns it.
+#[derive(Serialize)]
+pub(super) struct Event {
+    object: Box<RawValue>,
+    deleted: bool,
+}
+
+#[derive(Serialize)]
+struct ListBody {
+    items: Vec<Box<RawValue>>,
+    #[serde(rename = "hasMore")]
+    has_more: bool,
+    #[serde(rename = "currentRev")]
+    revision: u64,
+}
+
+#[derive(Serialize)]
+struct Document<'a> {
+    meta: Meta<'a>,
+    spec: &'a RawValue,
+    status: (),
+}
+
+#[derive(Serialize)]
+struct Meta<'a> {
+    name: &'a str,
+    rev: u64,
+    created: u64,
+    finalizers: [(); 0],
+    deleting: bool,
 }
 
 pub(super) struct Change {
     pub(super) revision: u64,
     pub(super) kind: Box<str>,
-    pub(super) object: Value,
+    pub(super) object: Box<RawValue>,
     pub(super) deleted: bool,
 }
 
@@ -89,17 +123,15 @@
     pub(super) fn list(&self, kind: &str, after: Option<&str>, page: usize) -> Answer {
         let of_kind = self.objects.iter().filter(|((k, _), _)| &**k == kind);
         let mut rest = of_kind.filter(|((_, name), _)| after.is_none_or(|after| &**name > after));
-        let items: Vec<Value> =
-            rest.by_ref().take(page).map(|(id, stored)| document(id, stored)).collect();
+        let items = rest.by_ref().take(page).map(|(id, stored)| document(id, stored)).collect();
         let has_more = rest.next().is_some();
-        let body = json!({"items": items, "hasMore": has_more, "currentRev": self.revision});
-        json_answer(200, &body)
+        json_answer(200, &ListBody { items, has_more, revision: self.revision })
     }
 
-    pub(super) fn events(&self, kind: &str, since: u64) -> Vec<Value> {
+    pub(super) fn events(&self, kind: &str, since: u64) -> Vec<Event> {
         let newer = self.history.iter().filter(|change| change.revision > since);
         let of_kind = newer.filter(|change| &*change.kind == kind);
-        of_kind.map(|c| json!({"object": c.object, "deleted": c.deleted})).collect()
+        of_kind.map(|c| Event { object: c.object.clone(), deleted: c.deleted }).collect()
     }
 
     pub(super) fn read(&self, id: &ObjectId) -> Answer {
@@ -109,25 +141,32 @@
         }
     }
 
-    pub(super) fn create(&mut self, id: ObjectId, spec: Value) -> Answer {
+    pub(super) fn create(&mut self, id: ObjectId, spec: Box<RawValue>) -> Answer {
         match self.objects.get(&id) {
             Some(stored) => json_answer(409, &document(&id, stored)),
             None => self.put(id, spec),
         }
     }
 
-    pub(super) fn replace(&mut self, id: ObjectId, rev: Option<u64>, spec: Value) -> Answer {
+    pub(super) fn replace(
+        &mut self,
+        id: ObjectId,
+        rev: Option<u64>,
+        spec: Box<RawValue>,
+    ) -> Answer {
         match self.objects.get(&id) {
             None => self.refuse(404, "unknown object", ""),
             Some(stored) if rev.is_some_and(|rev| rev != stored.revision) => {
                 json_answer(409, &document(&id, stored))
             }
-            Some(stored) if stored.spec == spec => json_answer(200, &document(&id, stored)),
+            Some(stored) if stored.spec.get() == spec.get() => {
+                json_answer(200, &document(&id, stored))
+            }
             Some(_) => self.put(id, spec),
         }
     }
 
-    pub(super) fn put(&mut self, id: ObjectId, spec: Value) -> Answer {
+    pub(super) fn put(&mut self, id: ObjectId, spec: Box<RawValue>) -> Answer {
         self.revision += 1;
         let stored = Stored { revision: self.revision, spec };
         let object = document(&id, &stored);
@@ -150,22 +189,15 @@
         json_answer(200, &object)
     }
 
-    pub(super) fn note(&mut self, kind: &str, object: &Value, deleted: bool) {
-        let (kind, object) = (kind.into(), object.clone());
+    pub(super) fn note(&mut self, kind: &str, object: &RawValue, deleted: bool) {
+        let (kind, object) = (kind.into(), object.to_owned());
         self.history.push_back(Change { revision: self.revision, kind, object, deleted });
     }
 }
 
-pub(super) fn document(id: &ObjectId, stored: &Stored) -> Value {
-    json!({
-        "meta": {
-            "name": id.1,
-            "rev": stored.revision,
-            "created": 0,
-            "finalizers": [],
-            "deleting": false,
-        },
-        "spec": stored.spec,
-        "status": null,
-    })
+pub(super) fn document(id: &ObjectId, stored: &Stored) -> Box<RawValue> {
+    let meta =
+        Meta { name: &id.1, rev: stored.revision, created: 0, finalizers: [], deleting: false };
+    let document = Document { meta, spec: &stored.spec, status: () };
+    to_raw_value(&document).expect("the document is valid JSON")
 }
--- a/crates/zinniacross/tests/users_platform.rs
+++ b/crates/zinniacross/tests/users_platform.rs
@@ -38,6 +38,10 @@
     NotExecuted,
     /// Closes the connection.
     Reset,
+    /// Sends this start of an answer, then the other text until the connection is closed.
+    Endless(&'static str, &'static str),
+    /// Sends the answer of the previous request on the connection once more before the right one.
+    LateCopy,
 }
 
 /// An endpoint that keeps the heads of the requests that it got.
@@ -76,17 +80,28 @@
 fn serve(stream: TcpStream, mode: &Mutex<Mode>, heads: &Mutex<Vec<String>>) {
     let mut reader = BufReader::new(stream.try_clone().unwrap());
     let mut stream = stream;
+    let mut previous = String::new();
     while let Some(head) = read_head(&mut reader) {
         let length = header(&head, "content-length").map_or(0, |text| text.parse().unwrap());
         reader.read_exact(&mut vec![0; length]).unwrap();
         let id = header(&head, "request-id").unwrap_or_default();
         heads.lock().unwrap().push(head);
         let mode = *mode.lock().unwrap();
+        let success = format!(
+            "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nresponse-stamp: stamp-1\r\n\
+             content-length: {}\r\n\r\n{id}done",
+            id.len() + 4
+        );
         let answer = match mode {
-            Mode::Answer => format!(
-                "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nresponse-stamp: stamp-1\r\n\
-                 content-length: 4\r\n\r\ndone"
-            ),
+            Mode::Answer => success,
+            Mode::LateCopy => std::mem::replace(&mut previous, success.clone()) + &success,
+            Mode::Endless(start, repeated) => {
+                let start = start.replace("{id}", &id);
+                let block = repeated.repeat(4096 / repeated.len());
+                let _ = stream.write_all(start.as_bytes());
+                while stream.write_all(block.as_bytes()).is_ok() {}
+                return;
+            }
             Mode::OtherId => {
                 "HTTP/1.1 200 OK\r\nrequest-id: another\r\ncontent-length: 6\r\n\r\nsecret"
                     .to_owned()
@@ -146,7 +161,7 @@
     ready: SocketAddr,
     metrics: SocketAddr,
     dir: TempDir,
-    _platform: PlatformStandin,
+    platform: PlatformStandin,
 }
 
 impl Site {
@@ -170,8 +185,7 @@
         };
         let binary = Path::new(env!("CARGO_BIN_EXE_zinniacross"));
         let node = NodeProcess::start(binary, dir.path(), &options).unwrap();
-        let site =
-            Site { endpoint: Endpoint::start(), node, ready, metrics, dir, _platform: platform };
+        let site = Site { endpoint: Endpoint::start(), node, ready, metrics, dir, platform };
         assert!(wait_until(SOON, || TcpStream::connect(site.ready).is_ok()));
         assert!(wait_until(SOON, || {
             status(&send(site.ready, "GET", "/api/readyz", "").0) == 200
@@ -194,6 +208,32 @@
         }
     }
 
+    /// Creates an object in the store, as another writer does.
+    fn create_object(&self, kind: &str, name: &str, spec: &str) {
+        let body = format!(r#"{{"meta":{{"name":"{name}"}},"spec":{spec}}}"#);
+        let url = format!("{}/api/objects/{kind}", self.platform.url());
+        ureq::post(&url).header("content-type", "application/json").send(body).unwrap();
+    }
+
+    /// Sends heartbeats while `condition` is checked, so that the endpoint does not lapse.
+    fn wait_until(&self, what: &str, mut condition: impl FnMut() -> bool) {
+        let mut seq = 100;
+        let holds = wait_until(SOON, || {
+            seq += 1;
+            self.heartbeat("ready", seq);
+            condition()
+        });
+        assert!(holds, "{what}");
+    }
+
+    /// Resident memory of the node, in kilobytes.
+    fn resident_kb(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.node.process.id());
+        let text = std::fs::read_to_string(path).unwrap();
+        let line = text.lines().find(|line| line.starts_with("VmRSS:")).unwrap();
+        line.split_whitespace().nth(1).unwrap().parse().unwrap()
+    }
+
     fn call(&self, method: &str, path: &str, headers: &str) -> (String, String) {
         send(self.node.caller, method, path, headers)
     }
@@ -215,7 +255,7 @@
         "Request-Id: r-17\r\nDeadline-Ms: 900\r\nApi-Key: key-of-big\r\nTenant: small\r\n\
          Expect-Instance: i-9\r\n",
     );
-    assert_eq!((status(&head), body.as_str()), (200, "done"));
+    assert_eq!((status(&head), body.as_str()), (200, "r-17done"));
     assert_eq!(header(&head, "request-id").as_deref(), Some("r-17"));
     assert_eq!(header(&head, "response-stamp").as_deref(), Some("stamp-1"));
     let heads = site.endpoint.heads();
@@ -326,3 +366,121 @@
             .unwrap_or_else(|err| panic!("{err}: {line}"));
     }
 }
+
+/// Guards against an entry of another writer that ends the node, or that keeps it from following the
+/// other entries: a change after the odd ones has to take effect.
+#[test]
+fn odd_entries_in_the_store_are_skipped() {
+    let site = Site::start();
+    site.endpoint.set(Mode::Answer);
+    let deep = "[".repeat(20_000) + &"]".repeat(20_000);
+    let record = |addr: &str, slots: &str| {
+        format!(
+            r#"{{"write_id":"w","document":{{"domain":"a","peer_addr":"{addr}","operator_addr":
+                "10.0.0.1:1","incarnation":1,"endpoints":[{{"name":"e","service":"orders","addr":
+                "10.0.0.1:80","slots":{slots},"state":"ready"}}]}}}}"#
+        )
+    };
+    let odd = [
+        deep.clone(),
+        "1e999".to_owned(),
+        format!("{:?}", "x".repeat(900_000)),
+        format!(r#"{{"write_id":"w","document":{deep}}}"#),
+        record("10.0.0.1:70000", "3"),
+        record("10.0.0.1:80", "1e30"),
+        record("10.0.0.1:80", "-1"),
+        record("10.0.0.1:80", "4294967296"),
+    ];
+    for (index, spec) in odd.iter().enumerate() {
+        site.create_object("zinniacross", &format!("node.odd-{index}"), spec);
+    }
+    site.create_object("zinniacross", "no-known-kind", "{}");
+    // A mark that drains the endpoint is the change that has to be noticed.
+    let mark = r#"{"write_id":"w","document":{"drained":true}}"#;
+    site.create_object("zinniacross", "endpoint-mark.i-1", mark);
+    let open = || status(&site.call("GET", "/open/1", "").0);
+    site.wait_until("the mark takes effect", || open() == 503);
+    let skipped = || site.log().lines().filter(|line| line.contains("skipping")).count();
+    site.wait_until("the odd entries are logged", || skipped() > odd.len());
+    let metrics = || send(site.metrics, "GET", "/metrics", "").1;
+    site.wait_until("the odd entries are counted", || {
+        metrics().lines().any(|line| {
+            let count = line.strip_prefix("zinniacross_entries_skipped ");
+            count.is_some_and(|count| count.parse::<usize>().unwrap() > odd.len())
+        })
+    });
+    assert_eq!(status(&send(site.ready, "GET", "/api/readyz", "").0), 200);
+}
+
+/// Guards against a node that waits for, or keeps, bytes that never become an answer, and against a
+/// caller that takes them for a complete success or is told that the request has not run.
+#[test]
+fn answers_without_end_are_given_up() {
+    const HEAD: &str = "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nresponse-stamp: s\r\n";
+    let site = Site::start();
+    let key = "Api-Key: key-of-big\r\nDeadline-Ms: 600\r\n";
+    let kinds = [
+        ("", "\u{1}\u{2}"),
+        ("HTTP/1.1 200 OK\r\n", "x"),
+        ("HTTP/1.1 200 OK\r\n", "x: y\r\n"),
+        ("", "HTTP/1.1 100 Continue\r\n\r\n"),
+    ];
+    let before = site.resident_kb();
+    for (start, repeated) in kinds {
+        for round in 0..5 {
+            site.endpoint.set(Mode::Endless(start, repeated));
+            let started = std::time::Instant::now();
+            let (head, body) = site.call("POST", "/buy/1", key);
+            assert!(matches!(status(&head), 502 | 504), "{start:?} {repeated:?}: {head}");
+            assert!(body.contains("\"code\":2"), "{body}");
+            let elapsed = started.elapsed();
+            assert!(elapsed < Duration::from_secs(2), "{start:?} {repeated:?}: {elapsed:?}");
+            site.endpoint.set(Mode::Answer);
+            site.wait_until(&format!("round {round}: the node serves again"), || {
+                status(&site.call("POST", "/buy/1", "Api-Key: key-of-big\r\n").0) == 200
+            });
+        }
+    }
+    // An answer whose body has no end is passed on until the caller leaves, which ends it.
+    let chunked = format!("{HEAD}transfer-encoding: chunked\r\n\r\n");
+    let until_close = format!("{HEAD}\r\n");
+    for (start, repeated) in [(chunked, "1\r\nx\r\n"), (until_close, "x")] {
+        let start: &'static str = Box::leak(start.into_boxed_str());
+        site.endpoint.set(Mode::Endless(start, repeated));
+        let mut stream = TcpStream::connect(site.node.caller).unwrap();
+        stream.set_read_timeout(Some(SOON)).unwrap();
+        let req = format!("POST /buy/1 HTTP/1.1\r\nhost: shop.example\r\n{key}\r\n");
+        stream.write_all(req.as_bytes()).unwrap();
+        let mut received = vec![0; 1 << 20];
+        stream.read_exact(&mut received).unwrap();
+        drop(stream);
+        site.endpoint.set(Mode::Answer);
+        site.wait_until("the node serves again", || {
+            status(&site.call("POST", "/buy/1", "Api-Key: key-of-big\r\n").0) == 200
+        });
+    }
+    let grown = site.resident_kb().saturating_sub(before);
+    assert!(grown < 32 * 1024, "{grown} KB more after answers without end");
+}
+
+/// Guards against a second copy of an answer that arrives when the next request has been sent on the
+/// connection, and is taken for the answer to that one.
+#[test]
+fn a_late_second_copy_of_an_answer_reaches_nobody() {
+    let site = Site::start();
+    site.endpoint.set(Mode::LateCopy);
+    for number in 0..40 {
+        let id = format!("r-{number}");
+        let headers = format!("Request-Id: {id}\r\nApi-Key: key-of-big\r\n");
+        let (head, body) = site.call("POST", "/buy/1", &headers);
+        match status(&head) {
+            200 => assert_eq!(body, format!("{id}done")),
+            status => {
+                assert!(matches!(status, 502 | 503), "{head}");
+                assert!(!body.contains("done"), "{body}");
+            }
+        }
+        assert_eq!(site.heartbeat("ready", 200 + number), 200);
+    }
+    assert!(site.log().contains("the request id is missing or differs"));
+}
