Let a few nodes of each failure domain follow the stored objects for the others

While the platform turned a third of the nodes away, each of them repeated its calls about twice a second in two tasks.

Now three nodes of each failure domain, drawn anew every 10 s from the names of the reachable members, wait at the platform. A node that learns of a new revision announces it to three peers of its failure domain, which pull what they lack and announce it in turn; comparisons at intervals stay. A node that is no reader reads the changes itself every 12 to 20 s, so that nothing depends on the readers alone. The configuration is still followed by every node, because a change of it has a bound of 2 to 3 s for nodes that only reach the platform. After a failed call the pauses grow to 1.6 s, and one task finds out when the platform is back; the others wait for it.

Ways weighed: (a) longer pauses for all, 0.4 calls a second and node at best, changes 4 s late; (b) rotating watches at random without ranks, in which 5 in 100 periods have no reader in a failure domain; (c) readers by rank with announcements, chosen: calls grow with the number of failure domains and not of nodes, a change takes about four steps.

--- /dev/null
+++ b/crates/node/src/gossip.rs
@@ -0,0 +1,169 @@
+//! Spreads changes from node to node: announces new revisions to peers, compares revisions with them,
+//! and pulls what is missing.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use config::{Feed, ReceiveOutcome, Revisions};
+use log::info;
+use model::NodeName;
+use rand::RngExt;
+use rand::seq::IndexedRandom;
+use tokio::time::sleep;
+use wire::Frame;
+
+use crate::peers::Peer;
+use crate::shared::{Node, lock, read, write};
+use crate::sync::update_dependents;
+
+/// Interval between comparisons of revisions with a peer. If the connection of a watch is dead,
+/// changes arrive from a peer after at most this interval and [`CATCH_UP_DELAY`], within the 2 s in
+/// which a configuration has to be in force.
+const COMPARE_INTERVAL: Duration = Duration::from_millis(1200);
+
+/// Interval between comparisons of revisions with a peer while the platform is unreachable.
+const OUTAGE_COMPARE_INTERVAL: Duration = Duration::from_millis(400);
+
+/// One in this many comparisons goes to a peer in any failure domain, the others to a peer in this
+/// node's own one. Traffic between domains is billed, but a whole domain may be cut off.
+const CROSS_DOMAIN_DIVISOR: u32 = 4;
+
+/// Time given to this node's own watch to deliver a change that a peer already has.
+const CATCH_UP_DELAY: Duration = Duration::from_millis(100);
+
+/// Number of peers to which a node announces revisions that are new to it. With three, a change
+/// reaches 60 nodes of a failure domain in about four steps.
+const ANNOUNCE_FANOUT: usize = 3;
+
+/// Minimum interval between two announcements. Changes come in bursts, for example when many nodes
+/// start.
+const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(150);
+
+/// Announces new revisions to a few peers of this node's failure domain, which pull what they lack
+/// and announce it in turn.
+pub(crate) async fn announce_changes(node: Arc<Node>) {
+    loop {
+        node.revisions_changed.notified().await;
+        let mut peers = node.peers.all();
+        peers.retain(|peer| peer.domain == node.info().domain);
+        let chosen: Vec<Arc<Peer>> =
+            peers.sample(&mut rand::rng(), ANNOUNCE_FANOUT).cloned().collect();
+        for peer in chosen {
+            tokio::spawn(compare_revisions(Arc::clone(&node), peer));
+        }
+        sleep(ANNOUNCE_INTERVAL).await;
+    }
+}
+
+/// Pulls newer revisions from a peer, unless this node's own watch delivers them first.
+pub(crate) fn catch_up(node: &Arc<Node>, peer: Arc<Peer>, peer_revisions: Revisions) {
+    /// Set while a pull is pending or in progress, so that further calls from peers don't start
+    /// another one.
+    static PULLING: AtomicBool = AtomicBool::new(false);
+    if PULLING.swap(true, Ordering::Relaxed) {
+        return;
+    }
+    let node = Arc::clone(node);
+    tokio::spawn(async move {
+        // Every node waits for the imported configuration at the platform, but not for the objects.
+        if peer_revisions.imported > read(&node.config).revisions().imported {
+            sleep(CATCH_UP_DELAY).await;
+        }
+        if peer_revisions.is_ahead_of(read(&node.config).revisions()) {
+            pull_changes(&node, &peer).await;
+        }
+        PULLING.store(false, Ordering::Relaxed);
+    });
+}
+
+/// Compares revisions with a peer at regular intervals, and pulls if the peer is ahead.
+pub(crate) async fn compare_with_peers(node: Arc<Node>) {
+    loop {
+        let is_reachable = node.platform.is_reachable();
+        sleep(if is_reachable { COMPARE_INTERVAL } else { OUTAGE_COMPARE_INTERVAL }).await;
+        match choose_peer(&node) {
+            Some(peer) => compare_revisions(Arc::clone(&node), peer).await,
+            None if !is_reachable => fetch_from_seeds(&node).await,
+            None => {}
+        }
+    }
+}
+
+/// A random peer, mostly one in this node's failure domain.
+fn choose_peer(node: &Node) -> Option<Arc<Peer>> {
+    let mut peers = node.peers.all();
+    let is_same_domain = |peer: &Arc<Peer>| peer.domain == node.info().domain;
+    if rand::rng().random_range(0..CROSS_DOMAIN_DIVISOR) > 0 && peers.iter().any(is_same_domain) {
+        peers.retain(is_same_domain);
+    }
+    (!peers.is_empty()).then(|| peers.swap_remove(rand::rng().random_range(0..peers.len())))
+}
+
+async fn compare_revisions(node: Arc<Node>, peer: Arc<Peer>) {
+    let own = read(&node.config).revisions();
+    match peer.control.request(Frame::Revisions(own)).await {
+        Ok(reply) => {
+            peer.record_success();
+            let Frame::Revisions(peer_revisions) = reply.frame else { return };
+            if peer_revisions.is_ahead_of(read(&node.config).revisions()) {
+                catch_up(&node, peer, peer_revisions);
+            }
+        }
+        Err(err) => peer.record_failure(node.now(), &err),
+    }
+}
+
+/// Fetches the configuration from the seeds if the platform is unreachable at startup.
+async fn fetch_from_seeds(node: &Arc<Node>) {
+    for seed in &node.settings.fleet_seeds {
+        for feed in Feed::ALL {
+            let since = read(&node.config).replica(feed).revision();
+            let first = Frame::Pull(feed, since);
+            let fetched = peer::request_all(*seed, &node.identity, first, |frame| {
+                receive_chunk(node, &seed_name(), feed, frame)
+            });
+            if let Err(err) = fetched.await {
+                info!("fetching the configuration from seed {seed} failed: {err}");
+            }
+        }
+    }
+}
+
+/// Name under which transfers from seeds are tracked, apart from those of members.
+fn seed_name() -> NodeName {
+    "seed".parse().expect("`seed` is a valid node name")
+}
+
+/// Pulls the changes of both feeds from a peer.
+async fn pull_changes(node: &Arc<Node>, from: &Peer) {
+    for feed in Feed::ALL {
+        let since = read(&node.config).replica(feed).revision();
+        let mut next = Some(Frame::Pull(feed, since));
+        while let Some(frame) = next {
+            let Ok(reply) = from.control.request(frame).await else { return };
+            next = receive_chunk(node, &from.name, feed, reply.frame);
+        }
+    }
+}
+
+/// Processes a chunk of a transfer and returns the request for the next one, if more follow.
+fn receive_chunk(node: &Arc<Node>, from: &NodeName, feed: Feed, frame: Frame) -> Option<Frame> {
+    let Frame::Objects(sent_feed, transfer) = frame else { return None };
+    if sent_feed != feed {
+        return None;
+    }
+    let last = transfer.last;
+    let mut config = write(&node.config);
+    let mut incoming = lock(&node.peers.incoming_transfers);
+    let receiver = incoming.entry((from.clone(), feed)).or_default();
+    let received = receiver.receive(transfer, config.replica_mut(feed));
+    drop(incoming);
+    drop(config);
+    match received {
+        ReceiveOutcome::Incomplete => {}
+        ReceiveOutcome::OutOfOrder => return None,
+        ReceiveOutcome::Complete(applied) => update_dependents(node, feed, applied, from.as_str()),
+    }
+    (!last).then_some(Frame::PullMore)
+}
--- a/crates/node/src/node_record.rs
+++ b/crates/node/src/node_record.rs
@@ -1,7 +1,6 @@
 //! Keeps this node's record in the platform up to date, and removes the records of dead nodes.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use log::{info, warn};
@@ -11,8 +10,9 @@
 use tokio::time::{sleep, timeout, timeout_at};
 
 use crate::peers::{Peer, displaced_members};
+use crate::platform_link::Retries;
 use crate::shared::{Node, Phase, lock, read};
-use crate::sync::{retry_delay, run_blocking};
+use crate::sync::run_blocking;
 
 /// Timeout of a write of the node record. The write is retried afterwards.
 const REGISTER_TIMEOUT: Duration = Duration::from_secs(3);
@@ -38,6 +38,7 @@
     // written without an endpoint.
     let _ = timeout(FIRST_RECORD_MAX_DELAY, node.node_record_changed.notified()).await;
     let mut written: Option<WrittenRecord> = None;
+    let mut retries = Retries::default();
     loop {
         if node.phase() != Phase::Serving {
             return;
@@ -57,12 +58,13 @@
         match write_record(&node, record.clone()).await {
             Ok(revision) => {
                 info!("node record written at revision {revision}");
+                retries.reset();
                 let echo_deadline = node.now() + RECORD_ECHO_TIMEOUT;
                 written = Some(WrittenRecord { record, revision, echo_deadline });
             }
             Err(err) => {
                 warn!("writing the node record failed: {err}");
-                sleep(retry_delay()).await;
+                node.platform.wait_for_recovery(&mut retries).await;
             }
         }
     }
@@ -171,7 +173,7 @@
 pub(crate) async fn remove_dead_members(node: Arc<Node>) {
     loop {
         sleep(DEAD_NODE_CHECK_INTERVAL).await;
-        if !node.platform_reachable.load(Ordering::Relaxed) {
+        if !node.platform.is_reachable() {
             continue;
         }
         let now = node.now();
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -16,7 +16,7 @@
 use wire::{Call, FenceStatus, Frame};
 
 use crate::shared::{Node, Phase, SharedMap, lock, read, write};
-use crate::{guard, sync};
+use crate::{gossip, guard, sync};
 
 /// Time for which a peer is avoided after the first failure to reach it. It doubles with each
 /// further failure.
@@ -243,7 +243,7 @@
     if peer_revisions.is_ahead_of(own)
         && let Some(peer) = node.peers.find(from.as_str())
     {
-        sync::catch_up(node, peer, peer_revisions);
+        gossip::catch_up(node, peer, peer_revisions);
     }
 }
 
--- /dev/null
+++ b/crates/node/src/platform_link.rs
@@ -0,0 +1,89 @@
+//! Reachability of the platform, and the delays of calls to it after failures.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use log::{info, warn};
+use rand::RngExt;
+use store::StoreError;
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout};
+
+/// Longest first delay before a failed call to the platform is retried.
+const FIRST_RETRY_DELAY: Duration = Duration::from_millis(400);
+
+/// Longest delay before the call that finds out whether the platform is back is retried. Nodes have to
+/// work again about 2 s after the platform recovers, and a refused call is billed like any other.
+const MAX_PROBE_DELAY: Duration = Duration::from_millis(1600);
+
+/// Longest delay before another call is retried that is not due to the recovery of the platform. It
+/// covers a platform that refuses some calls and serves others.
+const MAX_RETRY_DELAY: Duration = Duration::from_secs(6);
+
+/// What this node knows of the platform from its own calls.
+#[derive(Clone)]
+pub(crate) struct PlatformLink {
+    reachable: Arc<watch::Sender<bool>>,
+}
+
+impl PlatformLink {
+    /// Creates a link that has not been used.
+    pub(crate) fn new() -> PlatformLink {
+        PlatformLink { reachable: Arc::new(watch::Sender::new(false)) }
+    }
+
+    /// Whether the platform answered the last call.
+    pub(crate) fn is_reachable(&self) -> bool {
+        *self.reachable.borrow()
+    }
+
+    /// Records a call that was answered.
+    pub(crate) fn record_success(&self) {
+        if !self.reachable.send_replace(true) {
+            info!("the platform is reachable");
+        }
+    }
+
+    /// Records a call that failed.
+    pub(crate) fn record_failure(&self, err: &StoreError) {
+        if self.reachable.send_replace(false) {
+            warn!("the platform is unreachable: {err}");
+        }
+    }
+
+    /// Waits for the next delay of `retries`, or, if the platform is unreachable, until another task has
+    /// reached it.
+    pub(crate) async fn wait_for_recovery(&self, retries: &mut Retries) {
+        let delay = retries.next_delay(MAX_RETRY_DELAY);
+        if self.is_reachable() {
+            return sleep(delay).await;
+        }
+        let mut reachable = self.reachable.subscribe();
+        let _ = timeout(delay, reachable.wait_for(|reachable| *reachable)).await;
+    }
+}
+
+/// Consecutive failures of one kind of call.
+#[derive(Debug, Default)]
+pub(crate) struct Retries {
+    failures: u32,
+}
+
+impl Retries {
+    /// Records a call that was answered.
+    pub(crate) fn reset(&mut self) {
+        self.failures = 0;
+    }
+
+    /// Delay before the call that finds out whether the platform is back.
+    pub(crate) fn next_probe_delay(&mut self) -> Duration {
+        self.next_delay(MAX_PROBE_DELAY)
+    }
+
+    /// A random delay that grows with each failure, so that nodes don't all retry at the same moment.
+    fn next_delay(&mut self, max: Duration) -> Duration {
+        let longest = FIRST_RETRY_DELAY.saturating_mul(1 << self.failures.min(8)).min(max);
+        self.failures = self.failures.saturating_add(1);
+        rand::rng().random_range(longest / 2..=longest)
+    }
+}
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -5,7 +5,7 @@
 //! `directory`, and the state of `guard` is locked before `config`.
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock, RwLockReadGuard, RwLockWriteGuard};
 
 use config::Configuration;
@@ -27,6 +27,7 @@
 use crate::loads::EndpointLoads;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
+use crate::platform_link::PlatformLink;
 use crate::records::RecentRequests;
 use crate::retries::UnsentRetryLimiters;
 
@@ -81,11 +82,12 @@
     pub(crate) local_service: Mutex<Option<ServiceName>>,
     /// Wakes the task that writes the node record.
     pub(crate) node_record_changed: Notify,
+    /// Wakes the task that announces new revisions to peers.
+    pub(crate) revisions_changed: Notify,
     pub(crate) phase: watch::Sender<Phase>,
     /// Notified when an operator requests a graceful stop.
     pub(crate) stop_requested: Notify,
-    /// Whether the platform answered the last call.
-    pub(crate) platform_reachable: AtomicBool,
+    pub(crate) platform: PlatformLink,
     attempt_sequence: AtomicU64,
 }
 
@@ -127,9 +129,10 @@
             rng: Mutex::new(SplitMix64::new(rand::random())),
             local_service: Mutex::new(settings.node.service.clone()),
             node_record_changed: Notify::new(),
+            revisions_changed: Notify::new(),
             phase: watch::Sender::new(Phase::Serving),
             stop_requested: Notify::new(),
-            platform_reachable: AtomicBool::new(false),
+            platform: PlatformLink::new(),
             attempt_sequence: AtomicU64::new(0),
             clock,
             settings,
--- a/crates/node/src/sync.rs
+++ b/crates/node/src/sync.rs
@@ -1,34 +1,37 @@
-//! Keeps the configuration up to date from the platform and, if another node has a newer revision,
-//! from that node.
+//! Keeps the configuration and the stored objects up to date from the platform.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use admission::DrainState;
-use config::{Applied, Feed, ReceiveOutcome, Replica, Revisions};
+use config::{Applied, Feed, Replica};
 use log::{info, warn};
-use model::{EndpointName, Kind, NodeName, Revision};
+use membership::{READER_PERIOD, is_reader};
+use model::{EndpointName, Kind, Revision};
 use rand::RngExt;
 use store::StoreError;
 use tokio::task::spawn_blocking;
-use tokio::time::sleep;
-use wire::{Frame, MAX_TRANSFER_BYTES};
+use tokio::time::{Instant, sleep, sleep_until};
+use wire::MAX_TRANSFER_BYTES;
 
-use crate::peers::Peer;
-use crate::shared::{Node, lock, read, write};
+use crate::peers::Reachability;
+use crate::platform_link::Retries;
+use crate::shared::{Node, read, write};
 use crate::{guard, node_record};
 
 /// Long-poll timeout of a watch at the platform. Each watch is billed as a request. TCP keep-alive
 /// detects a dead connection before the timeout ends.
 const WATCH_WAIT: Duration = Duration::from_secs(25);
 
-/// Shortest and longest delay between a change of the stored objects and the next watch, if these
-/// are node records and endpoint marks only. Changes come in bursts, for example when many nodes
-/// start, and each watch is billed. The delay is random so that the first node to watch again
-/// passes the change on with its calls, at a tenth of the cost of a watch.
+/// Shortest and longest delay between a change of the stored objects and the next watch of a reader,
+/// if these are node records and endpoint marks only. Changes come in bursts, for example when many
+/// nodes start, and each watch is billed.
 const RECORDS_REWATCH_DELAY: [Duration; 2] =
-    [Duration::from_millis(1000), Duration::from_millis(4000)];
+    [Duration::from_millis(300), Duration::from_millis(900)];
+
+/// Shortest and longest delay between two reads of the changes by a node that is not a reader. These
+/// bound the time for which a node knows nothing of a change if no peer passes it on.
+const FALLBACK_READ_DELAY: [Duration; 2] = [Duration::from_secs(12), Duration::from_secs(20)];
 
 /// Shortest and longest delay between a change of the stored objects and the next watch, if these
 /// include the configuration, which operators expect to be in force soon.
@@ -39,48 +42,67 @@
 const IMPORT_REWATCH_DELAY: [Duration; 2] =
     [Duration::from_millis(100), Duration::from_millis(500)];
 
-/// Shortest delay before a failed call to the platform is retried.
-const MIN_RETRY_DELAY: Duration = Duration::from_millis(200);
-
-/// Longest delay before a failed call to the platform is retried. Entry nodes have to work again
-/// about 2 s after the platform recovers.
-const MAX_RETRY_DELAY: Duration = Duration::from_millis(800);
-
-/// Interval between comparisons of revisions with a peer. If the connection of a watch is dead,
-/// changes arrive from a peer after at most this interval and [`CATCH_UP_DELAY`], within the 2 s in
-/// which a configuration has to be in force.
-const COMPARE_INTERVAL: Duration = Duration::from_millis(1200);
-
-/// Interval between comparisons of revisions with a peer while the platform is unreachable.
-const OUTAGE_COMPARE_INTERVAL: Duration = Duration::from_millis(400);
-
-/// One in this many comparisons goes to a peer in any failure domain, the others to a peer in this
-/// node's own one. Traffic between domains is billed, but a whole domain may be cut off.
-const CROSS_DOMAIN_DIVISOR: u32 = 4;
-
-/// Time given to this node's own watch to deliver a change that a peer already has.
-const CATCH_UP_DELAY: Duration = Duration::from_millis(100);
-
 /// Follows the stored objects: lists them once, then watches for changes.
 pub(crate) async fn sync_objects(node: Arc<Node>) {
     let mut listed = false;
+    let mut retries = Retries::default();
     loop {
         let result = if listed { watch(&node).await } else { list(&node).await };
         match result {
             Ok(()) => {
                 listed = true;
-                mark_platform_reachable(&node);
+                retries.reset();
+                node.platform.record_success();
                 sleep(rewatch_delay(&node)).await;
+                wait_for_turn(&node).await;
             }
             Err(StoreError::RevisionCompacted) => listed = false,
             Err(err) => {
-                mark_platform_unreachable(&node, &err);
-                sleep(retry_delay()).await;
+                node.platform.record_failure(&err);
+                match node.interfaces.config_source {
+                    // The task that follows the configuration finds out when the platform is back.
+                    Some(_) => node.platform.wait_for_recovery(&mut retries).await,
+                    None => sleep(retries.next_probe_delay()).await,
+                }
             }
         }
     }
 }
 
+/// Waits until this node is a reader of its failure domain, or until its next fallback read is due.
+/// Returns at once if the objects contain the configuration, which has to be in force soon.
+async fn wait_for_turn(node: &Node) {
+    if node.interfaces.config_source.is_none() {
+        return;
+    }
+    let [min, max] = FALLBACK_READ_DELAY;
+    let fallback_at = Instant::now() + random_between(min, max);
+    while !is_reader_now(node) && Instant::now() < fallback_at {
+        sleep_until(fallback_at.min(Instant::now() + time_to_next_period())).await;
+    }
+}
+
+fn is_reader_now(node: &Node) -> bool {
+    let now = node.now();
+    let peers = node.peers.all();
+    let others = peers.iter().filter(|peer| {
+        peer.domain == node.info().domain && peer.reachability(now) == Reachability::Reachable
+    });
+    let period = unix_time().as_millis() / READER_PERIOD.as_millis();
+    is_reader(&node.info().node, others.map(|peer| &peer.name), period as u64)
+}
+
+/// Time until the next period of the readers begins.
+fn time_to_next_period() -> Duration {
+    let elapsed = unix_time().as_millis() % READER_PERIOD.as_millis();
+    READER_PERIOD - Duration::from_millis(elapsed as u64)
+}
+
+/// Time of day, which the nodes have in common, so that they draw readers for the same period.
+fn unix_time() -> Duration {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
+}
+
 async fn list(node: &Arc<Node>) -> Result<(), StoreError> {
     let store = Arc::clone(&node.interfaces.store);
     let listing = run_blocking(move || store.list()).await?;
@@ -92,7 +114,12 @@
 async fn watch(node: &Arc<Node>) -> Result<(), StoreError> {
     let store = Arc::clone(&node.interfaces.store);
     let since = read(&node.config).objects.revision();
-    let wait = watch_wait(node);
+    let wait = match node.interfaces.config_source {
+        // The watch of a reader ends with its period, and that of another node is a fallback read.
+        Some(_) if !is_reader_now(node) => Duration::ZERO,
+        Some(_) => watch_wait(node).min(time_to_next_period()),
+        None => watch_wait(node),
+    };
     let changes = run_blocking(move || store.watch(since, wait)).await?;
     let applied = write(&node.config).objects.apply_delta(since, changes.revision, changes.objects);
     match applied {
@@ -109,7 +136,7 @@
 /// Wait time of the next watch. After a failure the first watch returns at once, to find out
 /// whether the platform is reachable.
 fn watch_wait(node: &Node) -> Duration {
-    match node.platform_reachable.load(Ordering::Relaxed) {
+    match node.platform.is_reachable() {
         true => WATCH_WAIT,
         false => Duration::ZERO,
     }
@@ -118,12 +145,14 @@
 /// Follows the imported configuration, if the platform holds one.
 pub(crate) async fn sync_config(node: Arc<Node>) {
     let Some(source) = node.interfaces.config_source.clone() else { return };
+    let mut retries = Retries::default();
     loop {
         let since = read(&node.config).imported.revision();
         let (source, wait) = (Arc::clone(&source), watch_wait(&node));
         match run_blocking(move || source.wait_for_newer(since, wait)).await {
             Ok(newer) => {
-                mark_platform_reachable(&node);
+                retries.reset();
+                node.platform.record_success();
                 if let Some(listing) = newer {
                     let applied = {
                         let mut config = write(&node.config);
@@ -140,33 +169,16 @@
                 warn!(
                     "the imported configuration is invalid; keeping the last valid one: {reason}"
                 );
-                sleep(retry_delay()).await;
+                sleep(retries.next_probe_delay()).await;
             }
             Err(err) => {
-                mark_platform_unreachable(&node, &err);
-                sleep(retry_delay()).await;
+                node.platform.record_failure(&err);
+                sleep(retries.next_probe_delay()).await;
             }
         }
     }
 }
 
-fn mark_platform_reachable(node: &Node) {
-    if !node.platform_reachable.swap(true, Ordering::Relaxed) {
-        info!("the platform is reachable");
-    }
-}
-
-fn mark_platform_unreachable(node: &Node, err: &StoreError) {
-    if node.platform_reachable.swap(false, Ordering::Relaxed) {
-        warn!("the platform is unreachable: {err}");
-    }
-}
-
-/// A random delay before a retry, so that nodes don't all retry at the same moment.
-pub(crate) fn retry_delay() -> Duration {
-    random_between(MIN_RETRY_DELAY, MAX_RETRY_DELAY)
-}
-
 /// A random delay between a change and the next watch.
 fn rewatch_delay(node: &Node) -> Duration {
     let [min, max] = match node.interfaces.config_source {
@@ -204,6 +216,7 @@
     info!("{feed:?} feed updated to revision {} from {source}", config.replica(feed).revision());
     node.metrics.objects_revision.set(revisions.objects.0 as i64);
     node.metrics.imported_revision.set(revisions.imported.0 as i64);
+    node.revisions_changed.notify_one();
     if feed == Feed::Imported {
         return;
     }
@@ -246,112 +259,3 @@
         config::Delta::FullCopyNeeded => Some(replica.full_copy(MAX_TRANSFER_BYTES)),
     }
 }
-
-/// Pulls newer revisions from a peer, unless this node's own watch delivers them first.
-pub(crate) fn catch_up(node: &Arc<Node>, peer: Arc<Peer>, peer_revisions: Revisions) {
-    /// Set while a pull is pending or in progress, so that further calls from peers don't start
-    /// another one.
-    static PULLING: AtomicBool = AtomicBool::new(false);
-    if PULLING.swap(true, Ordering::Relaxed) {
-        return;
-    }
-    let node = Arc::clone(node);
-    tokio::spawn(async move {
-        sleep(CATCH_UP_DELAY).await;
-        if peer_revisions.is_ahead_of(read(&node.config).revisions()) {
-            pull_changes(&node, &peer).await;
-        }
-        PULLING.store(false, Ordering::Relaxed);
-    });
-}
-
-/// Compares revisions with a peer at regular intervals, and pulls if the peer is ahead.
-pub(crate) async fn compare_with_peers(node: Arc<Node>) {
-    loop {
-        let is_reachable = node.platform_reachable.load(Ordering::Relaxed);
-        sleep(if is_reachable { COMPARE_INTERVAL } else { OUTAGE_COMPARE_INTERVAL }).await;
-        match choose_peer(&node) {
-            Some(peer) => compare_revisions(&node, peer).await,
-            None if !is_reachable => fetch_from_seeds(&node).await,
-            None => {}
-        }
-    }
-}
-
-/// A random peer, mostly one in this node's failure domain.
-fn choose_peer(node: &Node) -> Option<Arc<Peer>> {
-    let mut peers = node.peers.all();
-    let is_same_domain = |peer: &Arc<Peer>| peer.domain == node.info().domain;
-    if rand::rng().random_range(0..CROSS_DOMAIN_DIVISOR) > 0 && peers.iter().any(is_same_domain) {
-        peers.retain(is_same_domain);
-    }
-    (!peers.is_empty()).then(|| peers.swap_remove(rand::rng().random_range(0..peers.len())))
-}
-
-async fn compare_revisions(node: &Arc<Node>, peer: Arc<Peer>) {
-    let own = read(&node.config).revisions();
-    match peer.control.request(Frame::Revisions(own)).await {
-        Ok(reply) => {
-            peer.record_success();
-            let Frame::Revisions(peer_revisions) = reply.frame else { return };
-            if peer_revisions.is_ahead_of(read(&node.config).revisions()) {
-                catch_up(node, peer, peer_revisions);
-            }
-        }
-        Err(err) => peer.record_failure(node.now(), &err),
-    }
-}
-
-/// Fetches the configuration from the seeds if the platform is unreachable at startup.
-async fn fetch_from_seeds(node: &Arc<Node>) {
-    for seed in &node.settings.fleet_seeds {
-        for feed in Feed::ALL {
-            let since = read(&node.config).replica(feed).revision();
-            let first = Frame::Pull(feed, since);
-            let fetched = peer::request_all(*seed, &node.identity, first, |frame| {
-                receive_chunk(node, &seed_name(), feed, frame)
-            });
-            if let Err(err) = fetched.await {
-                info!("fetching the configuration from seed {seed} failed: {err}");
-            }
-        }
-    }
-}
-
-/// Name under which transfers from seeds are tracked, apart from those of members.
-fn seed_name() -> NodeName {
-    "seed".parse().expect("`seed` is a valid node name")
-}
-
-/// Pulls the changes of both feeds from a peer.
-async fn pull_changes(node: &Arc<Node>, from: &Peer) {
-    for feed in Feed::ALL {
-        let since = read(&node.config).replica(feed).revision();
-        let mut next = Some(Frame::Pull(feed, since));
-        while let Some(frame) = next {
-            let Ok(reply) = from.control.request(frame).await else { return };
-            next = receive_chunk(node, &from.name, feed, reply.frame);
-        }
-    }
-}
-
-/// Processes a chunk of a transfer and returns the request for the next one, if more follow.
-fn receive_chunk(node: &Arc<Node>, from: &NodeName, feed: Feed, frame: Frame) -> Option<Frame> {
-    let Frame::Objects(sent_feed, transfer) = frame else { return None };
-    if sent_feed != feed {
-        return None;
-    }
-    let last = transfer.last;
-    let mut config = write(&node.config);
-    let mut incoming = lock(&node.peers.incoming_transfers);
-    let receiver = incoming.entry((from.clone(), feed)).or_default();
-    let received = receiver.receive(transfer, config.replica_mut(feed));
-    drop(incoming);
-    drop(config);
-    match received {
-        ReceiveOutcome::Incomplete => {}
-        ReceiveOutcome::OutOfOrder => return None,
-        ReceiveOutcome::Complete(applied) => update_dependents(node, feed, applied, from.as_str()),
-    }
-    (!last).then_some(Frame::PullMore)
-}
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -1,7 +1,6 @@
 //! Operator port: state, request records, object pushes and drain requests.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use config::{Applied, Feed};
@@ -52,7 +51,7 @@
             peers.iter().filter(|peer| peer.reachability(now) != Reachability::Reachable).count();
         metrics.members.set(peers.len() as i64);
         metrics.members_unreachable.set(unreachable as i64);
-        let is_reachable = node.platform_reachable.load(Ordering::Relaxed);
+        let is_reachable = node.platform.is_reachable();
         metrics.platform_reachable.set(i64::from(is_reachable));
         metrics.endpoints_known.set(node.loads.len() as i64);
         metrics.entries_skipped.set(node.skipped_entries() as i64);
@@ -87,7 +86,7 @@
             revision: revisions.objects,
             imported_revision: revisions.imported,
             synced: node.is_synced(),
-            platform_reachable: node.platform_reachable.load(Ordering::Relaxed),
+            platform_reachable: node.platform.is_reachable(),
             members: self.members(now),
             endpoints: self.endpoints(now),
         }
