Handle signals from the start, and ignore a second SIGTERM

Cause: a second SIGTERM ended the process at once and cut off the calls in flight, although signals may come in series. The handlers were installed after the listeners, so a SIGTERM or SIGHUP during the start ended the process like a failure, with connections already accepted.

Now the handlers are installed before the process listens. A further SIGTERM changes nothing; a second SIGINT still ends the process at once, as operators expect at a terminal.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -51,6 +51,7 @@
 use crate::entry::Entry;
 use crate::peers::NodeHandler;
 use crate::shared::Node;
+use crate::stop::StopSignals;
 
 /// Runs a node until a signal or an operator stops it, and returns after the graceful stop. The
 /// settings are reloaded when `file` changes.
@@ -59,9 +60,10 @@
     let file = PathBuf::from(file);
     let runtime = runtime(settings.node.threads)?;
     runtime.block_on(async {
+        let (stop_signals, hangup) = (StopSignals::install()?, reload::hangup_signal()?);
         let mut running = start(settings, interfaces, None).await?;
-        running.tasks.spawn(reload::watch_settings(Arc::clone(&running.node), file));
-        stop::wait_for_request(&running.node).await?;
+        running.tasks.spawn(reload::watch_settings(Arc::clone(&running.node), file, hangup));
+        stop_signals.wait_for_request(&running.node).await;
         running.stop().await;
         Ok::<_, eyre::Report>(())
     })?;
--- a/crates/node/src/reload.rs
+++ b/crates/node/src/reload.rs
@@ -4,9 +4,9 @@
 use std::sync::Arc;
 use std::time::{Duration, SystemTime};
 
-use log::{error, info, warn};
+use log::{info, warn};
 use settings::Settings;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::time::sleep;
 
 use crate::shared::{Node, lock};
@@ -15,15 +15,16 @@
 /// Interval between checks of the file, which may change without a signal.
 const POLL_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Installs the handler of SIGHUP. Until then the signal ends the process.
+pub(crate) fn hangup_signal() -> std::io::Result<Signal> {
+    signal(SignalKind::hangup())
+}
+
 /// Reloads the settings after SIGHUP or when the file has changed.
 ///
 /// Changes of the service of the instance and of the log level take effect immediately. Changes of
 /// other settings need a restart, and a warning is logged. An invalid file changes nothing.
-pub(crate) async fn watch_settings(node: Arc<Node>, file: PathBuf) {
-    let mut hangup = match signal(SignalKind::hangup()) {
-        Ok(hangup) => hangup,
-        Err(err) => return error!("failed to install the SIGHUP handler: {err}"),
-    };
+pub(crate) async fn watch_settings(node: Arc<Node>, file: PathBuf, mut hangup: Signal) {
     let mut last_modified = modified_time(&file);
     loop {
         let by_signal = tokio::select! {
--- a/crates/node/src/stop.rs
+++ b/crates/node/src/stop.rs
@@ -5,7 +5,7 @@
 
 use eyre::Result;
 use log::{info, warn};
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
@@ -29,25 +29,42 @@
 /// Interval between checks for calls in flight.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Waits for SIGTERM, SIGINT or a stop request from an operator. A second signal ends the process
-/// immediately.
-pub(crate) async fn wait_for_request(node: &Node) -> Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-        () = node.stop_requested.notified() => {}
+/// Signals that end the process.
+pub(crate) struct StopSignals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl StopSignals {
+    /// Installs the handlers. Until then a signal ends the process at once, so this happens before the
+    /// process accepts connections.
+    pub(crate) fn install() -> Result<StopSignals> {
+        Ok(StopSignals {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+        })
     }
-    tokio::spawn(async move {
+
+    /// Waits for SIGTERM, SIGINT or a stop request from an operator. A further SIGINT ends the process
+    /// at once. A further SIGTERM changes nothing: whoever stops many processes in series may signal
+    /// one twice, and the calls in flight must not pay for it.
+    pub(crate) async fn wait_for_request(mut self, node: &Node) {
         tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+            () = node.stop_requested.notified() => {}
         }
-        warn!("second signal: exiting without waiting for calls in flight");
-        std::process::exit(1);
-    });
-    Ok(())
+        tokio::spawn(async move {
+            loop {
+                tokio::select! {
+                    _ = self.terminate.recv() => info!("SIGTERM again: already stopping"),
+                    _ = self.interrupt.recv() => break,
+                }
+            }
+            warn!("SIGINT while stopping: exiting without waiting for calls in flight");
+            std::process::exit(1);
+        });
+    }
 }
 
 /// Stops the node gracefully: leaves the fleet and finishes the calls in flight.
--- a/crates/zinniacross/tests/stops.rs
+++ b/crates/zinniacross/tests/stops.rs
@@ -159,3 +159,58 @@
         connections: Connections::PerCall,
     });
 }
+
+/// Guards against a second SIGTERM that cuts off the calls in flight. Whoever stops many processes in
+/// series may signal one of them again, and the platform kills a process that takes too long anyway.
+#[test]
+fn repeated_termination_signals_cut_no_call() {
+    let mut fleet = fleet(4, 400);
+    let key = fleet.account("garden", 100_000, 100_000);
+    fleet.wait_served("/orders/ready", Some(&key));
+    let plan = Plan {
+        method: "POST",
+        path: "/orders/".to_owned(),
+        key: Some(key),
+        pause: millis(5),
+        connections: Connections::KeptUntilTold,
+    };
+    let mut node = fleet.nodes.remove(2);
+    let entries: Vec<_> =
+        (0..8).map(|caller| (caller % 2, fleet.nodes[caller % 2].caller)).collect();
+    let entries: Vec<_> =
+        entries.into_iter().chain(std::iter::repeat_n((2, node.caller), 4)).collect();
+    let mut asked = Instant::now();
+    let done = common::calls_on(&entries, &plan, || {
+        thread::sleep(seconds(1));
+        asked = Instant::now();
+        for _ in 0..6 {
+            let _ = node.process.signal(Signal::Terminate);
+            let _ = node.process.signal(Signal::Hangup);
+            thread::sleep(millis(90));
+        }
+        assert_eq!(node.process.wait(seconds(30)), Some(true), "the node ends with success");
+        thread::sleep(millis(300));
+    });
+    let failed: Vec<_> = done.iter().filter(|call| is_failure(call, asked)).collect();
+    assert!(failed.is_empty(), "{} of {}, such as {:?}", failed.len(), done.len(), failed.first());
+}
+
+/// Guards against a signal during the start that ends the process as if it had failed, after it has
+/// accepted connections: the callers on them would get no answer.
+#[test]
+fn signals_during_the_start_are_handled() {
+    let mut fleet = Fleet::start(3);
+    fleet.kill(2);
+    for delay_ms in (0..60).step_by(3) {
+        fleet.restart(2);
+        let started = || fleet.log(2).contains("starts with incarnation");
+        while !started() {
+            thread::sleep(millis(1));
+        }
+        thread::sleep(millis(delay_ms));
+        fleet.signal(2, Signal::Hangup);
+        fleet.signal(2, Signal::Terminate);
+        let ended = fleet.nodes[2].process.wait(seconds(20));
+        assert_eq!(ended, Some(true), "signal {delay_ms} ms after the start: {}", fleet.log(2));
+    }
+}
