Reset the connection of a response that was cut

Cause: to a caller with HTTP/1.0 a response without a length ends with its connection. When the upstream broke off halfway, the node closed the connection in order, and the part that had arrived looked like a complete success. HTTP/1.1 callers see the missing last chunk.

Now the connection is reset if the body of a response ended with an error.

--- a/crates/caller/src/framing.rs
+++ b/crates/caller/src/framing.rs
@@ -238,6 +238,11 @@
         ReadAheadState::Open
     }
 
+    /// Makes the end of the connection visible as an error, whatever has been sent before.
+    pub(crate) fn reset_on_close(&self) -> io::Result<()> {
+        self.stream.set_zero_linger()
+    }
+
     /// Returns the heads that were found since the last call.
     pub(crate) fn take_ahead(&mut self) -> Vec<AheadHead> {
         std::mem::take(&mut self.ahead)
--- a/crates/caller/src/server.rs
+++ b/crates/caller/src/server.rs
@@ -249,27 +249,36 @@
         };
         tokio::pin!(close_soon);
         let served = std::future::poll_fn(|cx| {
-            if conn.as_mut().poll(cx).is_ready() {
-                return Poll::Ready(ConnectionState::Ended);
+            if let Poll::Ready(result) = conn.as_mut().poll(cx) {
+                return Poll::Ready(ConnectionState::Ended(result));
             }
             if requests.poll_read_ahead(&stream, cx) == ReadAheadState::Closed {
-                return Poll::Ready(ConnectionState::Ended);
+                return Poll::Ready(ConnectionState::Ended(Ok(())));
             }
             close_soon.as_mut().poll(cx).map(|()| ConnectionState::Closing)
         });
-        if served.await == ConnectionState::Ended {
-            return;
+        if let ConnectionState::Ended(result) = served.await {
+            return reset_if_cut(&stream, result);
         }
     }
     conn.as_mut().graceful_shutdown();
-    let _ = conn.await;
+    reset_if_cut(&stream, conn.await);
+}
+
+/// Resets the connection instead of closing it if a response was cut. To callers whose protocol version
+/// has no chunks, the end of the connection is the end of a response without a length.
+fn reset_if_cut(stream: &SharedStream, result: Result<(), hyper::Error>) {
+    if result.is_err_and(|err| err.is_user())
+        && let Err(err) = stream.lock().reset_on_close()
+    {
+        warn!("failed to reset the connection of a cut response: {err}");
+    }
 }
 
 /// Why a connection is no longer served as before.
-#[derive(PartialEq, Eq)]
 enum ConnectionState {
     /// The caller or the server has closed it.
-    Ended,
+    Ended(Result<(), hyper::Error>),
     /// It closes after the request in progress.
     Closing,
 }
--- a/crates/caller/tests/server/connections.rs
+++ b/crates/caller/tests/server/connections.rs
@@ -4,11 +4,12 @@
 use std::time::{Duration, Instant};
 
 use crate::common::{
-    config, read_to_end, read_until, send, start, summarize_responses, wait_until,
+    TEST_TIMEOUT, config, read_to_end, read_until, send, start, summarize_responses, wait_until,
 };
 use caller::CallerConfig;
 use futures_util::FutureExt;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::time::timeout;
 
 const REQUEST_WITH_CLOSE: &str = "GET / HTTP/1.1\r\nconnection: close\r\n\r\n";
 
@@ -173,3 +174,24 @@
         assert!(stream.read(&mut [0]).now_or_never().is_none(), "a running request was ended");
     }
 }
+
+/// Guards against a response that breaks off and looks complete to a caller whose protocol version has
+/// no chunks: the end of the connection would then be the end of the response. HEAD, 204 and 304 have
+/// no body, and their connections end as usual.
+#[tokio::test]
+async fn a_cut_response_without_length_resets_the_connection() {
+    let server = start(config()).await;
+    for _ in 0..20 {
+        let mut stream = send(server.addr, "GET /cut HTTP/1.0\r\nhost: a\r\n\r\n").await;
+        let mut received = Vec::new();
+        let end = timeout(TEST_TIMEOUT, stream.read_to_end(&mut received)).await.unwrap();
+        assert!(end.is_err(), "{} bytes look like a complete response", received.len());
+    }
+    for request in ["GET /chunked/100000", "GET /204", "GET /304", "HEAD /empty"] {
+        let head = format!("{request} HTTP/1.0\r\nhost: a\r\n\r\n");
+        let mut stream = send(server.addr, head).await;
+        let mut received = Vec::new();
+        let end = timeout(TEST_TIMEOUT, stream.read_to_end(&mut received)).await.unwrap();
+        assert!(end.is_ok(), "{request}: {end:?}");
+    }
+}
