Let six nodes of each failure domain follow the configuration for the others

Cause: after the stored objects, the configuration was what most calls to the platform were for. Each node also wrote its record twice at a start, first without its endpoint, because the first list woke the task as well.

Now six readers of each failure domain wait for the configuration; in failure domains of today's usual size nearly every node is one, so that they keep their direct way. The others pull it from the peer that announces it, without the pause that leaves time for an own watch.

--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -17,4 +17,4 @@
 pub use directory::{Directory, EndpointEntry, TableApplied};
 pub use incarnations::{IncarnationHistory, IncarnationStatus};
 pub use placement::{displaced_nodes, owner_of};
-pub use readers::{READER_PERIOD, READERS_PER_DOMAIN, is_reader};
+pub use readers::{READER_PERIOD, is_reader};
--- a/crates/membership/src/readers.rs
+++ b/crates/membership/src/readers.rs
@@ -10,16 +10,12 @@
 
 use model::{NodeName, stable_hash};
 
-/// Number of readers in a failure domain. With three, one draw in 27 has no reader that reaches the
-/// platform while it turns a third of the nodes away, and other failure domains have readers as well.
-pub const READERS_PER_DOMAIN: usize = 3;
-
 /// Length of the period for which readers are drawn. It bounds the time without a reader after all
 /// readers of a failure domain have failed at once.
 pub const READER_PERIOD: Duration = Duration::from_secs(10);
 
-/// Returns whether `own` is a reader in the period with this number. `others` are the other reachable
-/// members of its failure domain.
+/// Returns whether `own` is one of `count` readers in the period with this number. `others` are the
+/// other reachable members of its failure domain.
 ///
 /// ```
 /// use membership::is_reader;
@@ -27,12 +23,13 @@
 ///
 /// let names: Vec<NodeName> = (0..20).map(|n| format!("n{n}").parse().unwrap()).collect();
 /// let others = |own| names.iter().filter(move |name| *name != own);
-/// let readers = names.iter().filter(|own| is_reader(own, others(*own), 7)).count();
+/// let readers = names.iter().filter(|own| is_reader(own, others(*own), 3, 7)).count();
 /// assert_eq!(readers, 3);
 /// ```
 pub fn is_reader<'a>(
     own: &NodeName,
     others: impl Iterator<Item = &'a NodeName>,
+    count: usize,
     period: u64,
 ) -> bool {
     let rank = |name: &NodeName| {
@@ -40,5 +37,5 @@
     };
     let own_rank = (rank(own), own);
     let before = others.filter(|name| (rank(name), *name) < own_rank);
-    before.take(READERS_PER_DOMAIN).count() < READERS_PER_DOMAIN
+    before.take(count).count() < count
 }
--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -15,7 +15,7 @@
 
 use crate::peers::Peer;
 use crate::shared::{Node, lock, read, write};
-use crate::sync::update_dependents;
+use crate::sync::{is_config_reader, update_dependents};
 
 /// Interval between comparisons of revisions with a peer. If the connection of a watch is dead,
 /// changes arrive from a peer after at most this interval and [`CATCH_UP_DELAY`], within the 2 s in
@@ -66,8 +66,8 @@
     }
     let node = Arc::clone(node);
     tokio::spawn(async move {
-        // Every node waits for the imported configuration at the platform, but not for the objects.
-        if peer_revisions.imported > read(&node.config).revisions().imported {
+        let is_config_ahead = peer_revisions.imported > read(&node.config).revisions().imported;
+        if is_config_ahead && is_config_reader(&node) {
             sleep(CATCH_UP_DELAY).await;
         }
         if peer_revisions.is_ahead_of(read(&node.config).revisions()) {
--- a/crates/node/src/node_record.rs
+++ b/crates/node/src/node_record.rs
@@ -34,9 +34,8 @@
 /// Writes this node's record whenever the stored one is missing or outdated, so that other nodes
 /// know this process and its endpoints.
 pub(crate) async fn register(node: Arc<Node>) {
-    // Ends at the first announcement or the first configuration change; after a timeout the record is
-    // written without an endpoint.
-    let _ = timeout(FIRST_RECORD_MAX_DELAY, node.node_record_changed.notified()).await;
+    // After the timeout the record is written without an endpoint.
+    let _ = timeout(FIRST_RECORD_MAX_DELAY, wait_for_endpoint(&node)).await;
     let mut written: Option<WrittenRecord> = None;
     let mut retries = Retries::default();
     loop {
@@ -70,6 +69,13 @@
     }
 }
 
+/// Waits for the first announcement of an endpoint. Changes of the configuration wake the task as well.
+async fn wait_for_endpoint(node: &Node) {
+    while lock(&node.announcements).table().is_empty() {
+        node.node_record_changed.notified().await;
+    }
+}
+
 /// The node record that was written last.
 struct WrittenRecord {
     record: model::NodeRecord,
--- a/crates/node/src/sync.rs
+++ b/crates/node/src/sync.rs
@@ -23,6 +23,15 @@
 /// detects a dead connection before the timeout ends.
 const WATCH_WAIT: Duration = Duration::from_secs(25);
 
+/// Number of nodes in each failure domain that follow the stored objects at the platform for the others.
+/// With three, one draw in 27 has no reader that reaches the platform while it turns a third of the
+/// nodes away, and the other failure domains have readers as well.
+const OBJECT_READERS: usize = 3;
+
+/// The same for the imported configuration. It has to be in force within 2 s, so that it has more
+/// readers; in failure domains of today's usual size nearly every node is one.
+const CONFIG_READERS: usize = 6;
+
 /// Shortest and longest delay between a change of the stored objects and the next watch of a reader,
 /// if these are node records and endpoint marks only. Changes come in bursts, for example when many
 /// nodes start, and each watch is billed.
@@ -54,7 +63,9 @@
                 retries.reset();
                 node.platform.record_success();
                 sleep(rewatch_delay(&node)).await;
-                wait_for_turn(&node).await;
+                if node.interfaces.config_source.is_some() {
+                    wait_for_turn(&node, OBJECT_READERS).await;
+                }
             }
             Err(StoreError::RevisionCompacted) => listed = false,
             Err(err) => {
@@ -69,27 +80,32 @@
     }
 }
 
-/// Waits until this node is a reader of its failure domain, or until its next fallback read is due.
-/// Returns at once if the objects contain the configuration, which has to be in force soon.
-async fn wait_for_turn(node: &Node) {
-    if node.interfaces.config_source.is_none() {
-        return;
-    }
+/// Waits until this node is one of `readers` in its failure domain, or until its next fallback read is
+/// due. Returns at once while the platform is unreachable, to find out when it is back.
+async fn wait_for_turn(node: &Node, readers: usize) {
     let [min, max] = FALLBACK_READ_DELAY;
     let fallback_at = Instant::now() + random_between(min, max);
-    while !is_reader_now(node) && Instant::now() < fallback_at {
+    while node.platform.is_reachable()
+        && !is_reader_now(node, readers)
+        && Instant::now() < fallback_at
+    {
         sleep_until(fallback_at.min(Instant::now() + time_to_next_period())).await;
     }
 }
 
-fn is_reader_now(node: &Node) -> bool {
+/// Whether this node follows the imported configuration at the platform.
+pub(crate) fn is_config_reader(node: &Node) -> bool {
+    is_reader_now(node, CONFIG_READERS)
+}
+
+fn is_reader_now(node: &Node, readers: usize) -> bool {
     let now = node.now();
     let peers = node.peers.all();
     let others = peers.iter().filter(|peer| {
         peer.domain == node.info().domain && peer.reachability(now) == Reachability::Reachable
     });
     let period = unix_time().as_millis() / READER_PERIOD.as_millis();
-    is_reader(&node.info().node, others.map(|peer| &peer.name), period as u64)
+    is_reader(&node.info().node, others.map(|peer| &peer.name), readers, period as u64)
 }
 
 /// Time until the next period of the readers begins.
@@ -116,7 +132,7 @@
     let since = read(&node.config).objects.revision();
     let wait = match node.interfaces.config_source {
         // The watch of a reader ends with its period, and that of another node is a fallback read.
-        Some(_) if !is_reader_now(node) => Duration::ZERO,
+        Some(_) if !is_reader_now(node, OBJECT_READERS) => Duration::ZERO,
         Some(_) => watch_wait(node).min(time_to_next_period()),
         None => watch_wait(node),
     };
@@ -148,7 +164,11 @@
     let mut retries = Retries::default();
     loop {
         let since = read(&node.config).imported.revision();
-        let (source, wait) = (Arc::clone(&source), watch_wait(&node));
+        let wait = match is_config_reader(&node) {
+            true => watch_wait(&node).min(time_to_next_period()),
+            false => Duration::ZERO,
+        };
+        let source = Arc::clone(&source);
         match run_blocking(move || source.wait_for_newer(since, wait)).await {
             Ok(newer) => {
                 retries.reset();
@@ -162,6 +182,7 @@
                     let [min, max] = IMPORT_REWATCH_DELAY;
                     sleep(random_between(min, max)).await;
                 }
+                wait_for_turn(&node, CONFIG_READERS).await;
             }
             // The next call fetches a full listing.
             Err(StoreError::RevisionCompacted) => {}
--- a/crates/zinniacross/tests/readers.rs
+++ b/crates/zinniacross/tests/readers.rs
@@ -20,6 +20,9 @@
 /// Time in which a change has to reach all nodes.
 const SPREAD_WITHIN: Duration = Duration::from_secs(3);
 
+/// Time in which a new configuration has to be in force at all nodes.
+const CONFIG_WITHIN: Duration = Duration::from_secs(2);
+
 /// Time for what nodes do by themselves, on a machine that also builds.
 const SOON: Duration = Duration::from_secs(40);
 
@@ -65,18 +68,29 @@
 
     /// Writes an object that all nodes follow, and returns the time until all know of it.
     fn spread_change(&self, number: usize) -> Duration {
-        let before = self.max_revision();
         let spec = r#"{"write_id":"w","document":{"drained":true}}"#;
-        self.create("zinniacross", &format!("endpoint-mark.e-{number}"), spec);
-        let started = Instant::now();
-        let all = || self.metrics.iter().all(|addr| metric(*addr, "objects_revision") > before);
-        assert!(wait_until(SOON, all), "change {number} reaches all nodes");
-        started.elapsed()
+        let name = format!("endpoint-mark.e-{number}");
+        self.time_until_known("objects_revision", || self.create("zinniacross", &name, spec))
     }
 
-    fn max_revision(&self) -> u64 {
-        let revisions = self.metrics.iter().map(|addr| metric(*addr, "objects_revision"));
-        revisions.max().unwrap_or(0)
+    /// Replaces the configuration, and returns the time until all nodes know of it.
+    fn spread_config(&self, number: usize) -> Duration {
+        let body =
+            format!(r#"{{"meta":{{"name":"main"}},"spec":{{"version":{number},"routes":[]}}}}"#);
+        let url = format!("{}/api/objects/config/main", self.platform.url());
+        self.time_until_known("imported_revision", || {
+            ureq::put(&url).header("content-type", "application/json").send(&body).unwrap();
+        })
+    }
+
+    /// Makes a change, and returns the time until the metric of a revision has risen at all nodes.
+    fn time_until_known(&self, revision: &str, change: impl FnOnce()) -> Duration {
+        let before = self.metrics.iter().map(|addr| metric(*addr, revision)).max().unwrap();
+        change();
+        let started = Instant::now();
+        let all = || self.metrics.iter().all(|addr| metric(*addr, revision) > before);
+        assert!(wait_until(SOON, all), "the change reaches all nodes");
+        started.elapsed()
     }
 }
 
@@ -105,6 +119,23 @@
     assert!(watches < if_all_watched / 2, "{watches} watches for {CHANGES} changes");
 }
 
+/// Guards against a new configuration that is in force late at nodes that do not ask the platform for
+/// it. The users allow 2 s.
+#[test]
+fn a_new_configuration_is_soon_in_force_everywhere() {
+    let fleet = Fleet::start();
+    std::thread::sleep(CHANGE_INTERVAL);
+    let watches_before = fleet.platform.counts().watches;
+    for number in 1..=CHANGES {
+        let took = fleet.spread_config(number);
+        assert!(took < CONFIG_WITHIN, "version {number} took {took:?}");
+        std::thread::sleep(CHANGE_INTERVAL.saturating_sub(took));
+    }
+    let watches = fleet.platform.counts().watches - watches_before;
+    let if_all_watched = (NODES * CHANGES) as u64;
+    assert!(watches < if_all_watched * 3 / 4, "{watches} watches for {CHANGES} versions");
+}
+
 /// Guards against an outage of the platform in which every node repeats its calls all the time, and
 /// against nodes that notice the end of it late.
 #[test]
