Keep departures of endpoints in the record of their node

Cause: a process that was started again knew nothing of endpoints that had left before.

Now the record of a node lists endpoints that are gone or leaving, with their start and, if they are leaving, the number of the notice. A new process of the node restores them when it reads the record, from the store or from a peer, and removes an endpoint that a late message has brought back meanwhile.

Ruled out: refusing all endpoints whose start is earlier than that of the process, since an endpoint keeps running while its node restarts.

A graceful stop removes the record, and a kill right after the answer to the notice comes before the write; both are stated as open.

--- a/crates/membership/src/announcements.rs
+++ b/crates/membership/src/announcements.rs
@@ -4,13 +4,19 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use model::{Announcement, Endpoint, EndpointName, EndpointState, Origin, Report, Time};
+use model::{
+    Announcement, DepartedEndpoint, Endpoint, EndpointName, EndpointState, Origin, Report, Time,
+};
 
 /// Maximum number of ended endpoints to remember. Their start times identify messages that arrive
 /// after the endpoint has ended. An address rarely has more than one endpoint replaced per minute, so
 /// 64 entries cover about an hour for one address.
 const MAX_ENDED_ENDPOINTS: usize = 64;
 
+/// Maximum number of ended endpoints in the record of the node, and of leaving ones. Late messages
+/// arrive within seconds, in which an instance has one or two endpoints.
+const MAX_RECORDED_ENDED: usize = 4;
+
 /// The effect of an announcement on the table.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum AnnounceOutcome {
@@ -73,6 +79,8 @@
     /// Endpoints that have shut down or were replaced at their address, each with the latest
     /// start time of its ended upstream processes, oldest entry first.
     ended: Vec<(EndpointName, Option<u64>)>,
+    /// Notices of endpoints that were leaving when an earlier process of this node recorded them.
+    restored: BTreeMap<EndpointName, Origin>,
 }
 
 impl Announcements {
@@ -86,6 +94,7 @@
             endpoints: BTreeMap::new(),
             latest_starts: HashMap::new(),
             ended: Vec::new(),
+            restored: BTreeMap::new(),
         }
     }
 
@@ -153,8 +162,54 @@
         if origin.started_ms.is_some_and(|started| latest.is_some_and(|latest| started < latest)) {
             return true;
         }
-        let known = self.endpoints.get(&endpoint.name);
-        known.is_some_and(|known| is_before(origin, known.origin))
+        let known = self.endpoints.get(&endpoint.name).map(|known| known.origin);
+        let known = known.or(self.restored.get(&endpoint.name).copied());
+        known.is_some_and(|known| is_before(origin, known))
+    }
+
+    /// Returns the endpoints that have left or are leaving, for the record of this node. Only notices
+    /// of endpoints that tell when they started can be recognized later.
+    pub fn departed(&self) -> Vec<DepartedEndpoint> {
+        let is_leaving = |known: &&Registration| known.endpoint.state == EndpointState::Leaving;
+        let leaving = self.endpoints.values().filter(is_leaving);
+        let leaving = leaving.map(|known| (&known.endpoint.name, known.origin));
+        let restored = self.restored.iter().filter(|(name, _)| !self.endpoints.contains_key(*name));
+        let leaving = leaving.chain(restored.map(|(name, origin)| (name, *origin)));
+        let leaving = leaving.filter_map(|(name, origin)| {
+            let (started_ms, sequence) = (origin.started_ms?, Some(origin.sequence?));
+            Some(DepartedEndpoint { name: name.clone(), started_ms, sequence })
+        });
+        let gone =
+            self.ended.iter().rev().take(MAX_RECORDED_ENDED).filter_map(|(name, started)| {
+                Some(DepartedEndpoint {
+                    name: name.clone(),
+                    started_ms: (*started)?,
+                    sequence: None,
+                })
+            });
+        leaving.take(MAX_RECORDED_ENDED).chain(gone).collect()
+    }
+
+    /// Restores the departures that an earlier process of this node has recorded. Removes and returns
+    /// the endpoints that were added by a late message meanwhile.
+    pub fn restore_departed(&mut self, departed: &[DepartedEndpoint]) -> Vec<EndpointName> {
+        let mut late = Vec::new();
+        for DepartedEndpoint { name, started_ms, sequence } in departed {
+            let notice = Origin { started_ms: Some(*started_ms), sequence: *sequence };
+            let known = self.endpoints.get(name).map(|known| known.origin);
+            let is_late = known.is_some_and(|known| match sequence {
+                None => known.started_ms <= Some(*started_ms),
+                Some(_) => is_before(known, notice),
+            });
+            match sequence {
+                None => self.record_ended(name, Some(*started_ms)),
+                Some(_) => _ = self.restored.insert(name.clone(), notice),
+            }
+            if is_late && self.remove(name) {
+                late.push(name.clone());
+            }
+        }
+        late
     }
 
     fn apply_shutdown(&mut self, name: EndpointName, origin: Origin) -> AnnounceOutcome {
--- a/crates/membership/tests/directory.rs
+++ b/crates/membership/tests/directory.rs
@@ -259,3 +259,55 @@
     check(&records[1..3], expect![""]);
     check(&[], expect![""]);
 }
+
+/// Guards against a message of an endpoint that had left before the process started, and that the
+/// process takes for news because it has seen nothing of the endpoint.
+#[test]
+fn departures_outlast_the_process() {
+    use membership::{AnnounceOutcome, Announcements};
+    use model::{Announcement, EndpointName, Origin, Report};
+
+    let ttl = std::time::Duration::from_secs(20);
+    let state = |started, sequence, state| Announcement {
+        origin: Origin { started_ms: Some(started), sequence: Some(sequence) },
+        report: Report::State(model::Endpoint {
+            name: "e-1".parse().unwrap(),
+            service: "orders".parse().unwrap(),
+            labels: model::Labels::new(),
+            addr: "10.0.0.1:80".parse().unwrap(),
+            slots: model::Slots(3),
+            state,
+            load: 0,
+        }),
+    };
+    let gone = Announcement {
+        origin: Origin { started_ms: Some(7), sequence: Some(9) },
+        report: Report::Gone("e-1".parse().unwrap()),
+    };
+    let leaving = state(7, 5, model::EndpointState::Leaving);
+    for (notice, late, newer) in [(leaving, 4, 6), (gone, 8, 0)] {
+        let mut before = Announcements::new(ttl);
+        before.apply(state(7, 1, model::EndpointState::Ready), model::Time::ZERO);
+        before.apply(notice, model::Time::ZERO);
+        let departed = before.departed();
+        assert_eq!(departed.len(), 1);
+
+        let mut after = Announcements::new(ttl);
+        assert_eq!(after.restore_departed(&departed), Vec::<EndpointName>::new());
+        let ready = |sequence| state(7, sequence, model::EndpointState::Ready);
+        assert_eq!(after.apply(ready(late), model::Time::ZERO), AnnounceOutcome::Stale);
+        assert_eq!(after.departed(), departed, "the record keeps the departure");
+        if newer > 0 {
+            let outcome = after.apply(ready(newer), model::Time::ZERO);
+            assert_ne!(outcome, AnnounceOutcome::Stale);
+        }
+        let restarted = state(8, 1, model::EndpointState::Ready);
+        assert_ne!(after.apply(restarted, model::Time::ZERO), AnnounceOutcome::Stale);
+
+        // The message may arrive before the process has read the record.
+        let mut early = Announcements::new(ttl);
+        early.apply(ready(late), model::Time::ZERO);
+        assert_eq!(early.restore_departed(&departed), ["e-1".parse().unwrap()]);
+        assert!(early.table().is_empty());
+    }
+}
--- a/crates/model/src/object.rs
+++ b/crates/model/src/object.rs
@@ -260,6 +260,24 @@
     /// Endpoints on the node's instance.
     #[serde(default)]
     pub endpoints: Vec<Endpoint>,
+    /// Endpoints that have left the node's instance or are leaving it.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub departed: Vec<DepartedEndpoint>,
+}
+
+/// An endpoint that has announced that it leaves. A process that takes over the node after a restart
+/// recognizes by it the messages that the endpoint had sent before, and that arrive late.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct DepartedEndpoint {
+    /// Name of the endpoint.
+    pub name: EndpointName,
+    /// Unix time at which the endpoint started, in milliseconds.
+    pub started_ms: u64,
+    /// Number of the message that announced it. Messages of this start with a lower number are late;
+    /// `None` if the endpoint is gone, and all messages of this start are.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub sequence: Option<u64>,
 }
 
 /// Content of a stored object.
--- a/crates/node/src/announce.rs
+++ b/crates/node/src/announce.rs
@@ -9,7 +9,7 @@
 use model::{Announcement, EndpointName, Report};
 use upstream::AnnounceHandler;
 
-use crate::shared::{Node, Phase, lock, write};
+use crate::shared::{Node, Phase, lock, read, write};
 
 /// Applies announcements to the endpoint table and the guard.
 pub(crate) struct LocalAnnounceHandler {
@@ -64,6 +64,25 @@
     }
 }
 
+/// Restores the departures of endpoints that an earlier process of this node has recorded.
+pub(crate) fn restore_departed(node: &Arc<Node>) {
+    let info = node.info();
+    let departed = {
+        let config = read(&node.config);
+        let record = config.objects.member(&info.node);
+        let earlier = record.filter(|record| record.value().incarnation != info.incarnation);
+        earlier.map(|record| record.value().departed.clone()).unwrap_or_default()
+    };
+    let late = lock(&node.announcements).restore_departed(&departed);
+    for endpoint in &late {
+        warn!("endpoint {endpoint} was removed: it had left before this process started");
+        node.guard.remove_endpoint(node, endpoint);
+    }
+    if !late.is_empty() {
+        publish_table(node);
+    }
+}
+
 /// Unix time in milliseconds. A clock that shows a time before 1970 was never set; it counts as 0,
 /// which is before all starts.
 fn unix_ms() -> u64 {
--- a/crates/node/src/node_record.rs
+++ b/crates/node/src/node_record.rs
@@ -118,6 +118,7 @@
         incarnation: node.info().incarnation,
         table_version: announcements.version(),
         endpoints,
+        departed: announcements.departed(),
     }
 }
 
--- a/crates/node/src/sync.rs
+++ b/crates/node/src/sync.rs
@@ -17,7 +17,7 @@
 use crate::peers::Reachability;
 use crate::platform_link::Retries;
 use crate::shared::{Node, read, write};
-use crate::{guard, node_record};
+use crate::{announce, guard, node_record};
 
 /// Long-poll timeout of a watch at the platform. Each watch is billed as a request. TCP keep-alive
 /// detects a dead connection before the timeout ends.
@@ -241,6 +241,10 @@
     if feed == Feed::Imported {
         return;
     }
+    let has_earlier_record = config
+        .objects
+        .member(&node.info().node)
+        .is_some_and(|record| record.value().incarnation != node.info().incarnation);
     node.peers.set_members(node, &config.objects);
     let marks = apply_marks(node, &config.objects);
     drop(config);
@@ -248,6 +252,9 @@
     if let Some((drains, marked)) = marks {
         node.guard.set_marks(node, &drains, marked);
     }
+    if has_earlier_record {
+        announce::restore_departed(node);
+    }
     if !node_record::is_registered(node) {
         node.node_record_changed.notify_one();
     }
--- a/crates/operator/tests/commands.rs
+++ b/crates/operator/tests/commands.rs
@@ -531,6 +531,7 @@
         incarnation: model::Incarnation(1),
         table_version: 0,
         endpoints: Vec::new(),
+        departed: Vec::new(),
     });
     let key = ObjectKey::new(Kind::Node, "shop-1");
     let id = new_write_id();
--- a/crates/zinniacross/tests/users_platform.rs
+++ b/crates/zinniacross/tests/users_platform.rs
@@ -161,6 +161,7 @@
     ready: SocketAddr,
     metrics: SocketAddr,
     dir: TempDir,
+    options: NodeOptions,
     platform: PlatformStandin,
 }
 
@@ -185,7 +186,8 @@
         };
         let binary = Path::new(env!("CARGO_BIN_EXE_zinniacross"));
         let node = NodeProcess::start(binary, dir.path(), &options).unwrap();
-        let site = Site { endpoint: Endpoint::start(), node, ready, metrics, dir, platform };
+        let endpoint = Endpoint::start();
+        let site = Site { endpoint, node, ready, metrics, dir, options, platform };
         assert!(wait_until(SOON, || TcpStream::connect(site.ready).is_ok()));
         assert!(wait_until(SOON, || {
             status(&send(site.ready, "GET", "/api/readyz", "").0) == 200
@@ -196,9 +198,14 @@
     }
 
     fn heartbeat(&self, state: &str, seq: u32) -> u16 {
+        self.heartbeat_of_start(state, seq, 7)
+    }
+
+    /// Sends a heartbeat of the start of the endpoint at the Unix time `born`, in milliseconds.
+    fn heartbeat_of_start(&self, state: &str, seq: u32, born: u64) -> u16 {
         let addr = self.endpoint.addr;
         let body = format!(
-            r#"{{"service":"orders","addr":"{addr}","slots":3,"state":"{state}","seq":{seq},"born":7}}"#
+            r#"{{"service":"orders","addr":"{addr}","slots":3,"state":"{state}","seq":{seq},"born":{born}}}"#
         );
         let url = format!("http://{}/api/endpoints/i-1", self.node.announce);
         match ureq::put(&url).send(body) {
@@ -208,6 +215,37 @@
         }
     }
 
+    /// Sends the notice that the endpoint is gone.
+    fn deregister(&self, seq: u32) {
+        let url = format!("http://{}/api/endpoints/i-1", self.node.announce);
+        let body = format!(r#"{{"seq":{seq},"born":7}}"#);
+        let req = ureq::http::Request::delete(&url).body(body).unwrap();
+        let agent: ureq::Agent =
+            ureq::Agent::config_builder().allow_non_standard_methods(true).build().into();
+        assert_eq!(agent.run(req).unwrap().status(), 200);
+    }
+
+    /// Kills the node and starts it again, and waits until it is ready.
+    fn restart(&mut self) {
+        self.node.process.signal(Signal::Kill).unwrap();
+        self.node.process.wait(SOON).expect("a killed process ends");
+        let binary = Path::new(env!("CARGO_BIN_EXE_zinniacross"));
+        self.node = NodeProcess::start(binary, self.dir.path(), &self.options).unwrap();
+        assert!(wait_until(SOON, || TcpStream::connect(self.ready).is_ok()));
+        assert!(wait_until(SOON, || {
+            status(&send(self.ready, "GET", "/api/readyz", "").0) == 200
+        }));
+    }
+
+    /// The record of the node in the store.
+    fn stored_record(&self) -> String {
+        let url = format!("{}/api/objects/zinniacross/node.node-0", self.platform.url());
+        match ureq::get(&url).call() {
+            Ok(mut answer) => answer.body_mut().read_to_string().unwrap(),
+            Err(_) => String::new(),
+        }
+    }
+
     /// Creates an object in the store, as another writer does.
     fn create_object(&self, kind: &str, name: &str, spec: &str) {
         let body = format!(r#"{{"meta":{{"name":"{name}"}},"spec":{spec}}}"#);
@@ -484,3 +522,30 @@
     }
     assert!(site.log().contains("the request id is missing or differs"));
 }
+
+/// Guards against an endpoint that is in use again after a restart of its node, because a message that
+/// it sent before it left arrives late: the new process has seen neither the notice nor the other
+/// messages. A later start of the endpoint is another one.
+#[test]
+fn an_endpoint_that_left_is_not_in_use_again_after_a_restart() {
+    for notice in ["gone", "draining"] {
+        let mut site = Site::start();
+        site.endpoint.set(Mode::Answer);
+        match notice {
+            "gone" => site.deregister(8),
+            _ => assert_eq!(site.heartbeat("draining", 8), 200),
+        }
+        assert!(wait_until(SOON, || site.stored_record().contains("departed")), "{notice}");
+        site.restart();
+        let open = |site: &Site| status(&site.call("GET", "/open/1", "").0);
+        for late in [3, 7] {
+            site.heartbeat("ready", late);
+            for _ in 0..5 {
+                assert_eq!(open(&site), 503, "{notice}, message {late}");
+            }
+        }
+        assert_eq!(site.endpoint.heads().len(), 0, "{notice}");
+        assert_eq!(site.heartbeat_of_start("ready", 1, 9000), 200);
+        assert!(wait_until(SOON, || open(&site) == 200), "{notice}: the endpoint starts again");
+    }
+}
--- a/xtask/src/slopes/config.rs
+++ b/xtask/src/slopes/config.rs
@@ -301,6 +301,7 @@
         incarnation: Incarnation(number as u64),
         table_version: 12,
         endpoints: vec![endpoint(number, 48)],
+        departed: Vec::new(),
     };
     stored(number, &format!("node-{number}"), Object::Node(record))
 }
