--- a/crates/node/src/attempts.rs
+++ b/crates/node/src/attempts.rs
@@ -106,11 +106,11 @@
                 running.push(self.start_attempt(selected, is_retry));
             }
             let hedge_at = self.hedge_at(&attempts, &running);
-            let RaceEvent::Ended(ended, finished) = next_event(&mut running, hedge_at).await else {
+            let RaceEvent::Ended(ended) = next_event(&mut running, hedge_at).await else {
                 running.extend(self.hedge(&running));
                 continue;
             };
-            let action = match self.handle_end(&mut attempts, ended, finished).await {
+            let action = match self.handle_end(&mut attempts, *ended).await {
                 AttemptStep::Answer(answer) => {
                     for abandoned in running {
                         self.abandon(abandoned);
@@ -145,9 +145,8 @@
         &mut self,
         attempts: &mut CallAttempts,
         ended: EndedAttempt<'a>,
-        finished: FinishedAttempt,
     ) -> AttemptStep {
-        let EndedAttempt { record, started, in_flight, selected } = ended;
+        let EndedAttempt { record, started, in_flight, selected, finished } = ended;
         let now = self.node.now();
         let end = match finished.result {
             Ok(answer) => {
--- a/crates/node/src/sending.rs
+++ b/crates/node/src/sending.rs
@@ -140,12 +140,13 @@
     pub(crate) started: Time,
     pub(crate) in_flight: InFlightCall<'a>,
     pub(crate) selected: SelectedEndpoint,
+    pub(crate) finished: FinishedAttempt,
 }
 
 /// What happened first while attempts were running.
 pub(crate) enum RaceEvent<'a> {
     /// An attempt has ended; it is no longer among the running ones.
-    Ended(EndedAttempt<'a>, FinishedAttempt),
+    Ended(Box<EndedAttempt<'a>>),
     /// The time for a second attempt has come.
     HedgeDue,
 }
@@ -169,7 +170,8 @@
         },
     };
     let RunningAttempt { record, started, in_flight, selected, .. } = running.swap_remove(index);
-    RaceEvent::Ended(EndedAttempt { record, started, in_flight, selected }, finished)
+    let ended = EndedAttempt { record, started, in_flight, selected, finished };
+    RaceEvent::Ended(Box::new(ended))
 }
 
 /// Decides what to do with a call whose link has gone silent. An idempotent call is abandoned, which
