Don't wait for the operator port at the exit, and stream in the stand-in behind routes

Two causes, found while tracing processes that were still there at the end of the grace time:

* A node that uses all of its stop time for calls in flight then waited up to 1 s for the thread of the operator port, with 0.3 s left.
Dropping the port now only tells the thread to end.
* The stand-in of upstreams streamed `/chunked/N` only for paths without the prefix of a route, so that tests/stops.rs, stop_cuts_no_long_answers, had sent answers of two bytes.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -94,7 +94,8 @@
     caller_server: JoinHandle<()>,
     /// Background tasks, which are aborted on stop.
     tasks: JoinSet<()>,
-    operator: OperatorPort,
+    /// Dropping it closes the operator port.
+    _operator: OperatorPort,
 }
 
 impl Running {
@@ -102,7 +103,6 @@
     pub async fn stop(mut self) {
         stop::stop_gracefully(&self.node, self.close, self.caller_server).await;
         self.tasks.shutdown().await;
-        self.operator.stop();
     }
 }
 
@@ -147,7 +147,7 @@
     let (close, close_rx) = watch::channel(false);
     let entry = Arc::new(Entry::new(Arc::clone(&node)));
     let caller_server = tokio::spawn(caller::serve(callers, cfg, entry, close_rx));
-    Ok(Running { node, close, caller_server, tasks, operator })
+    Ok(Running { node, close, caller_server, tasks, _operator: operator })
 }
 
 fn caller_config(settings: &Settings, interfaces: &Interfaces) -> CallerConfig {
--- a/crates/operator/src/port.rs
+++ b/crates/operator/src/port.rs
@@ -96,8 +96,9 @@
 }
 
 impl Drop for OperatorPort {
+    /// Tells the thread of the port to end, without a wait: a process that exits has no time for it.
     fn drop(&mut self) {
-        self.stop();
+        self.stopping.store(true, Ordering::Relaxed);
     }
 }
 
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -263,9 +263,9 @@
 
 #[derive(Serialize)]
 struct WatchPage {
-    events: Vec<state::Event>,
     #[serde(rename = "currentRev")]
     revision: u64,
+    events: Vec<state::Event>,
 }
 
 #[derive(Deserialize)]
--- a/crates/standins/src/platform/state.rs
+++ b/crates/standins/src/platform/state.rs
@@ -33,17 +33,17 @@
 /// A change as a watch returns it.
 #[derive(Serialize)]
 pub(super) struct Event {
-    object: Box<RawValue>,
     deleted: bool,
+    object: Box<RawValue>,
 }
 
 #[derive(Serialize)]
 struct ListBody {
-    items: Vec<Box<RawValue>>,
-    #[serde(rename = "hasMore")]
-    has_more: bool,
     #[serde(rename = "currentRev")]
     revision: u64,
+    #[serde(rename = "hasMore")]
+    has_more: bool,
+    items: Vec<Box<RawValue>>,
 }
 
 #[derive(Serialize)]
@@ -55,11 +55,11 @@
 
 #[derive(Serialize)]
 struct Meta<'a> {
-    name: &'a str,
-    rev: u64,
     created: u64,
-    finalizers: [(); 0],
     deleting: bool,
+    finalizers: [(); 0],
+    name: &'a str,
+    rev: u64,
 }
 
 pub(super) struct Change {
--- a/crates/standins/src/upstream.rs
+++ b/crates/standins/src/upstream.rs
@@ -250,7 +250,8 @@
 }
 
 fn content(path: &str, body: Bytes) -> Response<Body> {
-    let size = |prefix| path.strip_prefix(prefix).and_then(|size: &str| size.parse().ok());
+    // Routes have prefixes of their own in front of these paths.
+    let size = |name| path.rsplit_once(name).and_then(|(_, size): (_, &str)| size.parse().ok());
     if path == "/echo" {
         return plain(200, body);
     }
