--- a/crates/zinniacross/tests/common/mod.rs
+++ b/crates/zinniacross/tests/common/mod.rs
@@ -20,6 +20,8 @@
 use store::{ObjectStore, Precondition, new_write_id};
 use tokio::runtime::Runtime;
 
+// Not every test file uses all of them.
+#[allow(unused_imports)]
 pub use caller::{Caller, Connections, Done, Plan, call_until};
 
 const LOCAL: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
