Split the validation of heads from the stream that uses it

The wait for the end of a connection is a function of its own. No change of behaviour; the tests of the crate pass.

--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -6,6 +6,7 @@
 mod chunks;
 mod early;
 mod framing;
+mod head;
 mod idle;
 mod sanitize;
 mod server;
--- a/crates/caller/src/server.rs
+++ b/crates/caller/src/server.rs
@@ -19,13 +19,12 @@
 use rand::RngExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, watch};
 use tokio::time::{sleep, timeout};
 
 use crate::early::EarlyRequests;
-use crate::framing::{
-    AheadHead, CheckedStream, MAX_HEADERS, ReadAheadState, RejectedHead, SharedStream,
-};
+use crate::framing::{AheadHead, CheckedStream, ReadAheadState, RejectedHead, SharedStream};
+use crate::head::MAX_HEADERS;
 use crate::idle::{ConnectionActivity, Eviction, IdleConnections};
 use crate::sanitize::{PresentedKey, sanitize};
 use crate::{error_answer, error_body};
@@ -237,34 +236,36 @@
         .max_headers(MAX_HEADERS)
         .serve_connection(TokioIo::new(stream.clone()), service);
     tokio::pin!(conn);
-    {
-        let close_soon = async {
-            let grace = tokio::select! {
-                _ = shutdown.wait_for(|stop| *stop) => SHUTDOWN_GRACE,
-                () = evicted.notified() => Duration::ZERO,
-            };
-            sleep(grace).await;
-            // Requests that were started early are answered first.
-            early.wait_until_empty().await;
-        };
-        tokio::pin!(close_soon);
-        let served = std::future::poll_fn(|cx| {
-            if let Poll::Ready(result) = conn.as_mut().poll(cx) {
-                return Poll::Ready(ConnectionState::Ended(result));
-            }
-            if requests.poll_read_ahead(&stream, cx) == ReadAheadState::Closed {
-                return Poll::Ready(ConnectionState::Ended(Ok(())));
-            }
-            close_soon.as_mut().poll(cx).map(|()| ConnectionState::Closing)
-        });
-        if let ConnectionState::Ended(result) = served.await {
-            return reset_if_cut(&stream, result);
+    let closing = wait_until_closing(&mut shutdown, &evicted, &early);
+    tokio::pin!(closing);
+    let served = std::future::poll_fn(|cx| {
+        if let Poll::Ready(result) = conn.as_mut().poll(cx) {
+            return Poll::Ready(ConnectionState::Ended(result));
         }
+        if requests.poll_read_ahead(&stream, cx) == ReadAheadState::Closed {
+            return Poll::Ready(ConnectionState::Ended(Ok(())));
+        }
+        closing.as_mut().poll(cx).map(|()| ConnectionState::Closing)
+    });
+    if let ConnectionState::Ended(result) = served.await {
+        return reset_if_cut(&stream, result);
     }
     conn.as_mut().graceful_shutdown();
     reset_if_cut(&stream, conn.await);
 }
 
+/// Waits until a connection may close after its request in progress: some time after the server is told
+/// to stop, or when the connection is evicted.
+async fn wait_until_closing(shutdown: &mut Shutdown, evicted: &Notify, early: &EarlyRequests) {
+    let grace = tokio::select! {
+        _ = shutdown.wait_for(|stop| *stop) => SHUTDOWN_GRACE,
+        () = evicted.notified() => Duration::ZERO,
+    };
+    sleep(grace).await;
+    // Requests that were started early are answered first.
+    early.wait_until_empty().await;
+}
+
 /// Resets the connection instead of closing it if a response was cut. To callers whose protocol version
 /// has no chunks, the end of the connection is the end of a response without a length.
 fn reset_if_cut(stream: &SharedStream, result: Result<(), hyper::Error>) {
