Count the time of a stop from the last signal

Now each SIGTERM moves the time by which the process exits.

Before: tests/stops.rs, the_time_of_a_stop_counts_from_the_last_signal, fails without the change (the caller gets no answer).

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -51,7 +51,7 @@
 use crate::entry::Entry;
 use crate::peers::NodeHandler;
 use crate::shared::Node;
-use crate::stop::StopSignals;
+use crate::stop::{ExitDeadline, StopSignals};
 
 /// Runs a node until a signal or an operator stops it, and returns after the graceful stop. The
 /// settings are reloaded when `file` changes.
@@ -63,8 +63,8 @@
         let (stop_signals, hangup) = (StopSignals::install()?, reload::hangup_signal()?);
         let mut running = start(settings, interfaces, None).await?;
         running.tasks.spawn(reload::watch_settings(Arc::clone(&running.node), file, hangup));
-        stop_signals.wait_for_request(&running.node).await;
-        running.stop().await;
+        let deadline = stop_signals.wait_for_request(&running.node).await;
+        running.stop_by(deadline).await;
         Ok::<_, eyre::Report>(())
     })?;
     // Blocking calls to the platform may still be in progress; their results are no longer used.
@@ -100,8 +100,14 @@
 
 impl Running {
     /// Stops gracefully: calls in flight are finished within the allowed stop time.
-    pub async fn stop(mut self) {
-        stop::stop_gracefully(&self.node, self.close, self.caller_server).await;
+    pub async fn stop(self) {
+        let deadline = stop::exit_deadline(self.node.settings.node.stop_within);
+        let (_keep, deadline) = watch::channel(deadline);
+        self.stop_by(deadline).await;
+    }
+
+    async fn stop_by(mut self, deadline: ExitDeadline) {
+        stop::stop_gracefully(&self.node, self.close, self.caller_server, deadline).await;
         self.tasks.shutdown().await;
     }
 }
--- a/crates/node/src/stop.rs
+++ b/crates/node/src/stop.rs
@@ -8,7 +8,7 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
-use tokio::time::{Instant, sleep, timeout, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use crate::shared::{Node, Phase, lock};
 use crate::{announce, node_record};
@@ -45,28 +45,43 @@
         })
     }
 
-    /// Waits for SIGTERM, SIGINT or a stop request from an operator. A further SIGINT ends the process
-    /// at once. A further SIGTERM changes nothing: whoever stops many processes in series may signal
-    /// one twice, and the calls in flight must not pay for it.
-    pub(crate) async fn wait_for_request(mut self, node: &Node) {
+    /// Waits for SIGTERM, SIGINT or a stop request from an operator, and returns the time by which the
+    /// process has to exit. A further SIGINT ends the process at once. A further SIGTERM cuts off no
+    /// call: whoever stops many processes in series may signal one twice. The time allowed for the stop
+    /// then counts from the last signal.
+    pub(crate) async fn wait_for_request(mut self, node: &Node) -> ExitDeadline {
         tokio::select! {
             _ = self.terminate.recv() => {}
             _ = self.interrupt.recv() => {}
             () = node.stop_requested.notified() => {}
         }
+        let stop_within = node.settings.node.stop_within;
+        let (extend, deadline) = watch::channel(exit_deadline(stop_within));
         tokio::spawn(async move {
             loop {
                 tokio::select! {
-                    _ = self.terminate.recv() => info!("SIGTERM again: already stopping"),
+                    _ = self.terminate.recv() => {
+                        info!("SIGTERM again: already stopping");
+                        extend.send_replace(exit_deadline(stop_within));
+                    }
                     _ = self.interrupt.recv() => break,
                 }
             }
             warn!("SIGINT while stopping: exiting without waiting for calls in flight");
             std::process::exit(1);
         });
+        deadline
     }
 }
 
+/// Time by which the process has to exit. A further signal may move it.
+pub(crate) type ExitDeadline = watch::Receiver<Instant>;
+
+/// The time by which a process that is told to stop now has to exit.
+pub(crate) fn exit_deadline(stop_within: Duration) -> Instant {
+    Instant::now() + stop_within.saturating_sub(EXIT_MARGIN)
+}
+
 /// Stops the node gracefully: leaves the fleet and finishes the calls in flight.
 ///
 /// The order matters. Other nodes must learn that this node is leaving before its guard refuses
@@ -76,8 +91,8 @@
     node: &Arc<Node>,
     close: watch::Sender<bool>,
     caller_server: JoinHandle<()>,
+    deadline: ExitDeadline,
 ) {
-    let deadline = Instant::now() + node.settings.node.stop_within.saturating_sub(EXIT_MARGIN);
     info!("stopping: leaving the fleet");
     node.phase.send_replace(Phase::Leaving);
     lock(&node.announcements).stop();
@@ -98,10 +113,21 @@
             sleep(DRAIN_POLL_INTERVAL).await;
         }
     };
-    match timeout_at(deadline, drained).await {
-        Ok(()) => info!("stopped"),
-        Err(_) => {
-            warn!("stopped with calls in flight: the time allowed by node.stop_within is used up")
+    tokio::select! {
+        () = drained => info!("stopped"),
+        () = wait_until_passed(deadline) => {
+            warn!("stopped with calls in flight: the time allowed by node.stop_within is used up");
+        }
+    }
+}
+
+/// Waits until the deadline has passed, however often it is moved meanwhile.
+async fn wait_until_passed(deadline: ExitDeadline) {
+    loop {
+        let at = *deadline.borrow();
+        sleep_until(at).await;
+        if *deadline.borrow() <= at {
+            return;
         }
     }
 }
--- a/crates/zinniacross/tests/common/mod.rs
+++ b/crates/zinniacross/tests/common/mod.rs
@@ -54,18 +54,23 @@
 impl Fleet {
     /// Starts the platform and `count` nodes, `node-0` and so on, and waits until all know each other.
     pub fn start(count: usize) -> Fleet {
+        Fleet::start_with(count, "")
+    }
+
+    /// The same, with further lines in the section `[node]` of the settings.
+    pub fn start_with(count: usize, node_settings: &str) -> Fleet {
         for _ in 0..2 {
-            match Fleet::try_start(count) {
+            match Fleet::try_start(count, node_settings) {
                 Ok(fleet) => return fleet,
                 // Another test may have taken a port between its choice and its use.
                 Err(reason) if reason.contains("Address already in use") => {}
                 Err(reason) => panic!("the fleet does not start: {reason}"),
             }
         }
-        Fleet::try_start(count).unwrap()
+        Fleet::try_start(count, node_settings).unwrap()
     }
 
-    fn try_start(count: usize) -> Result<Fleet, String> {
+    fn try_start(count: usize, node_settings: &str) -> Result<Fleet, String> {
         let rt = tokio::runtime::Builder::new_multi_thread()
             .worker_threads(2)
             .enable_all()
@@ -91,7 +96,8 @@
                 fleet.rt.block_on(CutProxy::start(LOCAL, fleet.platform.addr())).unwrap();
             fleet.options.push(NodeOptions {
                 name: format!("node-{index}"),
-                domain: format!("mid-{}", ["a", "b", "c"][index % 3]),
+                // The domain is the last line of its section.
+                domain: format!("mid-{}\n{node_settings}", ["a", "b", "c"][index % 3]),
                 platform: format!("http://{}", to_platform.addr()),
                 advertise: Some(link.addr()),
                 peer: Some(peer),
--- a/crates/zinniacross/tests/stops.rs
+++ b/crates/zinniacross/tests/stops.rs
@@ -214,3 +214,27 @@
         assert_eq!(ended, Some(true), "signal {delay_ms} ms after the start: {}", fleet.log(2));
     }
 }
+
+/// Guards against a stop that ends by the time of the first signal although it was signalled again: a
+/// call that runs for less than the time allowed after the last signal has to be answered.
+#[test]
+fn the_time_of_a_stop_counts_from_the_last_signal() {
+    let mut fleet = Fleet::start_with(3, "stop_within = 3s");
+    fleet.upstream(0, "orders", 4, Behaviour { service_ms: 4500, ..Behaviour::default() });
+    fleet.route("orders", "open", 9000);
+    fleet.wait_served("/orders/ready", None);
+    let mut node = fleet.nodes.remove(2);
+    let caller = common::Caller::new(node.caller);
+    let call = thread::spawn(move || {
+        let mut caller = caller;
+        caller.call("POST", "/orders/1", None, b"")
+    });
+    thread::sleep(millis(500));
+    for pause in [1500, 1500, 0] {
+        node.process.signal(Signal::Terminate).unwrap();
+        thread::sleep(millis(pause));
+    }
+    let answer = call.join().unwrap().expect("the call is answered");
+    assert_eq!(answer.status, 200);
+    assert_eq!(node.process.wait(seconds(20)), Some(true));
+}
