Send pongs while a request body waits for its upstream

Cause: a guard reads no frames of a link while the upstream takes no more of a request body, so it did not answer the pings behind them. After 700 ms the entry took the guard for silent: it gave up a call that may be repeated and sent it elsewhere while it was running, or asked for a fence.

Ruled out: frozen guards still count as silent (a_silent_link_is_pinged_before_on_silence_decides).

Before: an_upstream_that_pauses_before_a_body_is_not_silent failed with its first body, of 120 KB. After: it passes with bodies of 120 KB, 300 KB and 30 MB.

Conclusion: a guard in this state sends a pong each 200 ms. A slow upstream is left to the deadline and the health of its endpoint.

--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -133,6 +133,11 @@
         self.ws.send(Message::Ping(Bytes::new())).await.map_err(|_| LinkError::Closed)
     }
 
+    /// Sends a pong that replies to no ping, to show that this process is alive.
+    pub(crate) async fn pong(&mut self) -> Result<(), LinkError> {
+        self.ws.send(Message::Pong(Bytes::new())).await.map_err(|_| LinkError::Closed)
+    }
+
     /// Receives the next frame. Cancel safe.
     pub async fn recv(&mut self) -> Result<Frame, LinkError> {
         loop {
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -22,6 +22,10 @@
 /// out of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Time between pongs that are sent without a ping, while a link is not read because the upstream takes
+/// no more of a request body. The entry sends a ping after 400 ms of silence and waits 300 ms.
+const UNREAD_PONG_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Outcome of an attempt, as reported by the node of its endpoint.
 #[derive(Debug)]
 pub enum CallReply {
@@ -187,7 +191,13 @@
     /// waits for the link to fail: a frame before the reply is sent is an error. Cancel safe.
     async fn advance(&mut self, link: &mut Link) -> Result<(), LinkError> {
         if let RequestBody::Pending(tx, _) = self {
-            let ready = tx.ready().await;
+            // Pings of the entry wait behind the frames of the body, which are not read now.
+            let ready = loop {
+                tokio::select! {
+                    ready = tx.ready() => break ready,
+                    () = tokio::time::sleep(UNREAD_PONG_INTERVAL) => link.pong().await?,
+                }
+            };
             let RequestBody::Pending(tx, chunk) = std::mem::replace(self, RequestBody::Complete)
             else {
                 unreachable!("the state was matched above");
--- a/crates/peer/tests/links.rs
+++ b/crates/peer/tests/links.rs
@@ -453,11 +453,11 @@
     assert_eq!(received, 30_000_000);
 }
 
-/// A body of 30 MB, sent as fast as its receiver takes it.
-fn large_body() -> Payload {
+/// A body of chunks of 15 KB, sent as fast as its receiver takes it.
+fn body_of(chunks: u64) -> Payload {
     let (tx, body) = Payload::channel();
     tokio::spawn(async move {
-        for _ in 0..2000 {
+        for _ in 0..chunks {
             if tx.send(Bytes::from(vec![0; 15_000])).await.is_err() {
                 return;
             }
@@ -483,7 +483,7 @@
         }
         Ok::<_, String>(received)
     };
-    let upload = make_call(&pool, node.addr, call(2, "/pause", false), large_body());
+    let upload = make_call(&pool, node.addr, call(2, "/pause", false), body_of(2000));
     let (received, uploaded) = tokio::join!(download, upload);
     assert_eq!(received, Ok(30_000_000));
     let ReadAhead::Whole(text) = uploaded.unwrap().body.read_ahead(100).await else {
@@ -492,6 +492,25 @@
     assert_eq!(text, "/pause 30000000");
 }
 
+/// Guards against a call that counts as silent, and is sent elsewhere, although its guard only waits for
+/// an upstream that has not read the body yet.
+#[tokio::test]
+async fn an_upstream_that_pauses_before_a_body_is_not_silent() {
+    let node = Node::start().await;
+    let pool = pool("secret");
+    let calls = [8, 20, 2000].map(|chunks| {
+        let made = pool.call(
+            node.addr,
+            call(chunks, "/pause", false),
+            DEADLINE,
+            body_of(chunks),
+            |_| async { panic!("a process that waits for its upstream is not silent") },
+        );
+        async { assert_eq!(made.await.unwrap().status, 200) }
+    });
+    futures_util::future::join_all(calls).await;
+}
+
 /// Accepts a link and completes the handshake as node-1 whose clock shows `clock`.
 async fn accept_handshake(
     listener: &TcpListener,
