Disconnect callers that take nothing of their response

Cause: nothing bounded the write of a response. A caller that stopped reading, or whose host was lost, held its connection, the link behind it and a slot of the upstream; no limit applied while the write waited.

Ruled out: idle eviction takes only connections without a request, and the deadline of a body is looked at only when the next chunk is taken.

Before: callers_that_take_nothing_are_disconnected failed, the one connection was held after 5 s.

Conclusion: the kernel ends such a connection; a caller that reads slowly, but reads, is not affected.

--- a/crates/caller/src/server.rs
+++ b/crates/caller/src/server.rs
@@ -17,6 +17,7 @@
 use model::{HeaderNames, RequestId, ResultCode};
 use payload::{BodyLimits, Payload};
 use rand::RngExt;
+use socket2::SockRef;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, watch};
@@ -58,7 +59,7 @@
     pub max_head_bytes: usize,
     /// Timeout for receiving a complete head, which also limits how long a connection may be idle.
     pub idle_timeout: Duration,
-    /// Limits on request bodies.
+    /// Limits on request bodies. The stall timeout also holds for callers that do not read.
     pub body: BodyLimits,
     /// Names of the headers that callers use.
     pub names: HeaderNames,
@@ -203,6 +204,7 @@
 ) {
     let ConnectionContext { idle, config, handler, mut shutdown, .. } = context;
     let _ = stream.set_nodelay(true);
+    let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(config.body.stall_timeout));
     let rejected_head = Arc::new(RejectedHead::default());
     let early = Arc::<EarlyRequests>::default();
     let (max_head_bytes, rejected) = (config.max_head_bytes, Arc::clone(&rejected_head));
--- a/crates/caller/tests/server/connections.rs
+++ b/crates/caller/tests/server/connections.rs
@@ -175,6 +175,24 @@
     }
 }
 
+/// Guards against a caller that holds a connection and the slot of its request for good because it never
+/// reads its response.
+#[tokio::test]
+async fn callers_that_take_nothing_are_disconnected() {
+    let server = start(CallerConfig { max_connections: 1, ..config() }).await;
+    let _unread = send(server.addr, "GET /chunked/100000000 HTTP/1.1\r\nhost: a\r\n\r\n").await;
+    wait_until("it should be served", || server.handler.served.load(Ordering::SeqCst) == 1).await;
+    let deadline = Instant::now() + TEST_TIMEOUT;
+    loop {
+        let response = read_to_end(&mut send(server.addr, REQUEST_WITH_CLOSE).await).await;
+        if summarize_responses(&response) == "200" {
+            break;
+        }
+        assert!(Instant::now() < deadline, "the connection is still held: {response}");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
 /// Guards against a response that breaks off and looks complete to a caller whose protocol version has
 /// no chunks: the end of the connection would then be the end of the response. HEAD, 204 and 304 have
 /// no body, and their connections end as usual.
