Let a silent attempt go on while the request is sent elsewhere

Cause: when the link of an idempotent call went silent for 700 ms, the entry dropped the attempt, which cancelled it at the guard, before it knew whether another endpoint could take the call. With one endpoint the caller got a 502 (2002) while the work was running; with several, work that was about to end was lost as well. A pause of the guard of 450 ms was enough beside other load.

Ruled out: non-idempotent calls already waited. Pauses of the entry ended no call.

Change: silence is reported to the request, which counts it as the end of an attempt whose outcome is unknown and makes the next one; the silent attempt stays in the race, and the first success counts. If no endpoint is left, the request waits for it.

Conclusion: a request waits longer for a host that is lost when it has no other endpoint, 2 s until the kernel closes the link, and up to its deadline for a frozen process.

--- a/crates/node/src/attempts.rs
+++ b/crates/node/src/attempts.rs
@@ -16,6 +16,7 @@
     AttemptEnd, Balancer, BodyState, CallAttempts, Evidence, FenceResult, Idempotence, NextAction,
     RetryParams,
 };
+use tokio::sync::oneshot;
 use tokio::time::timeout;
 use wire::{BodyPart, Call, Head, MAX_CHUNK_BYTES};
 
@@ -25,8 +26,8 @@
 use crate::loads::{InFlightCall, PathOutcome};
 use crate::records::AttemptRecord;
 use crate::sending::{
-    AttemptTarget, EndedAttempt, FENCE_TIMEOUT, FinishedAttempt, OutgoingAttempt, RaceEvent,
-    RunningAttempt, next_event,
+    AttemptTarget, EndedAttempt, FENCE_TIMEOUT, FinishedAttempt, OnSilence, OutgoingAttempt,
+    RaceEvent, RunningAttempt, next_event,
 };
 use crate::shared::{Node, lock};
 
@@ -96,38 +97,49 @@
         // The last server error. It is returned to the caller unless another endpoint succeeds.
         let mut server_error = None;
         let mut running: Vec<RunningAttempt<'a>> = Vec::new();
+        let mut action = NextAction::Retry;
         loop {
+            let is_active = running.iter().any(|attempt| !attempt.is_silent());
+            if !is_active && action == NextAction::Retry {
+                match self.select_endpoint(&attempts) {
+                    Some(selected) => {
+                        if !self.trace.record.attempts.is_empty() {
+                            self.node.metrics.retries.inc();
+                        }
+                        let is_retry = attempts.reached_endpoint() > 0;
+                        running.push(self.start_attempt(selected, is_retry));
+                    }
+                    None => action = attempts.final_action(self.no_endpoint_code()),
+                }
+            }
             if running.is_empty() {
-                let Some(selected) = self.select_endpoint(&attempts) else {
-                    let code = self.no_endpoint_code();
-                    return server_error.ok_or(final_code(attempts.final_action(code)));
-                };
-                let is_retry = attempts.reached_endpoint() > 0;
-                running.push(self.start_attempt(selected, is_retry));
+                return server_error.ok_or(final_code(action));
             }
             let hedge_at = self.hedge_at(&attempts, &running);
-            let RaceEvent::Ended(ended) = next_event(&mut running, hedge_at).await else {
-                running.extend(self.hedge(&running));
-                continue;
-            };
-            let action = match self.handle_end(&mut attempts, *ended).await {
-                AttemptStep::Answer(answer) => {
-                    for abandoned in running {
-                        self.abandon(abandoned);
-                    }
-                    return Ok(answer);
+            action = match next_event(self.node, &mut running, hedge_at).await {
+                RaceEvent::HedgeDue => {
+                    running.extend(self.hedge(&running));
+                    continue;
                 }
-                AttemptStep::ServerError(answer, action) => {
-                    server_error = Some(answer);
-                    action
+                RaceEvent::Silent(index) => self.handle_silence(&mut attempts, &mut running[index]),
+                RaceEvent::Ended(ended) => {
+                    let step = match ended.in_flight {
+                        Some(_) => self.handle_end(&mut attempts, *ended).await,
+                        None => self.handle_silent_end(*ended, action),
+                    };
+                    match step {
+                        AttemptStep::Answer(answer) => {
+                            running.into_iter().for_each(|abandoned| self.abandon(abandoned));
+                            return Ok(answer);
+                        }
+                        AttemptStep::ServerError(answer, action) => {
+                            server_error = Some(answer);
+                            action
+                        }
+                        AttemptStep::Failed(action) => action,
+                    }
                 }
-                AttemptStep::Failed(action) => action,
             };
-            if action == NextAction::Retry {
-                self.node.metrics.retries.inc();
-            } else if running.is_empty() {
-                return server_error.ok_or(final_code(action));
-            }
         }
     }
 
@@ -152,7 +164,7 @@
             Ok(answer) => {
                 self.record_attempt_end(record, format!("answered {}", answer.status));
                 let overhead = now.since(started).saturating_sub(answer.took);
-                in_flight.finish(PathOutcome::Answered(overhead));
+                finish(in_flight, PathOutcome::Answered(overhead));
                 if answer.status < 500 {
                     self.node.unsent_retry_limiters.record_answer(&self.service, now);
                     self.latencies.observe(&self.route_name, now.since(started));
@@ -165,7 +177,7 @@
             Err(end) => classify_busy(end, selected.max_expected_wait),
         };
         self.record_attempt_end(record, describe_end(end));
-        in_flight.finish(path_outcome(end));
+        finish(in_flight, path_outcome(end));
         self.exclude_endpoint(&selected.entry, end, now);
         let mut action = self.next_action(attempts, end);
         if action == NextAction::Fence {
@@ -176,9 +188,42 @@
         AttemptStep::Failed(action)
     }
 
+    /// Processes that the link of an attempt has gone silent: the request is sent elsewhere if it may be,
+    /// and the attempt goes on.
+    fn handle_silence(
+        &mut self,
+        attempts: &mut CallAttempts,
+        attempt: &mut RunningAttempt<'a>,
+    ) -> NextAction {
+        self.record_attempt_end(attempt.record, "silent, no answer yet".to_owned());
+        finish(attempt.in_flight.take(), PathOutcome::Failed);
+        let end = AttemptEnd::Unknown { code: ResultCode::LinkLost };
+        self.exclude_endpoint(&attempt.selected.entry, end, self.node.now());
+        self.next_action(attempts, end)
+    }
+
+    /// Processes the end of an attempt that had gone silent. What follows from its failure has been
+    /// decided before, as `action`.
+    fn handle_silent_end(&mut self, ended: EndedAttempt<'a>, action: NextAction) -> AttemptStep {
+        match ended.finished.result {
+            Ok(answer) => {
+                self.record_attempt_end(ended.record, format!("answered {} late", answer.status));
+                match answer.status < 500 {
+                    true => AttemptStep::Answer(answer),
+                    false => AttemptStep::ServerError(answer, action),
+                }
+            }
+            Err(end) => {
+                self.record_attempt_end(ended.record, format!("silent, {}", describe_end(end)));
+                AttemptStep::Failed(action)
+            }
+        }
+    }
+
     /// Time at which a second attempt starts beside the running one, if the request may have one.
     fn hedge_at(&self, attempts: &CallAttempts, running: &[RunningAttempt<'_>]) -> Option<Time> {
-        let [only] = running else { return None };
+        let mut active = running.iter().filter(|attempt| !attempt.is_silent());
+        let (Some(only), None) = (active.next(), active.next()) else { return None };
         let may_hedge = self.hedges_left > 0 && attempts.may_hedge(self.body_state());
         let timeout = self.deadline.since(self.trace.started);
         may_hedge.then(|| only.started + self.latencies.hedge_delay(&self.route_name, timeout))
@@ -197,8 +242,11 @@
     /// Drops an attempt, which cancels it, after another one has succeeded. The time that it took so
     /// far counts as a latency, so that the estimate does not follow the quick attempts only.
     fn abandon(&mut self, attempt: RunningAttempt<'_>) {
-        let elapsed = self.node.now().since(attempt.started);
-        self.latencies.observe(&self.route_name, elapsed);
+        // Silence says nothing about the latency of the route.
+        if !attempt.is_silent() {
+            let elapsed = self.node.now().since(attempt.started);
+            self.latencies.observe(&self.route_name, elapsed);
+        }
         self.record_attempt_end(attempt.record, "abandoned: another attempt succeeded".to_owned());
     }
 
@@ -244,19 +292,25 @@
         // Remains the recorded end if the caller disconnects first.
         let record = self.record_attempt(&selected, "no answer yet".into());
         let call = self.build_call(node.next_attempt_id(), &selected, is_retry);
+        let (report, silence) = oneshot::channel();
+        let on_silence = match self.idempotence {
+            Idempotence::Idempotent => OnSilence::Report(report),
+            Idempotence::NonIdempotent => OnSilence::Fence,
+        };
         let outgoing = OutgoingAttempt {
             node: Arc::clone(node),
             call,
             body: self.take_unsent_body(),
             deadline: self.deadline,
-            idempotence: self.idempotence,
+            on_silence,
         };
         let peer = node.peers.find(selected.entry.node.as_str());
         RunningAttempt {
             record,
             started: now,
-            in_flight: InFlightCall::start(node, &selected.entry.name, now),
+            in_flight: Some(InFlightCall::start(node, &selected.entry.name, now)),
             selected,
+            silence: Some(silence),
             outcome: Box::pin(outgoing.send(peer)),
         }
     }
@@ -351,6 +405,12 @@
     }
 }
 
+fn finish(in_flight: Option<InFlightCall<'_>>, outcome: PathOutcome) {
+    if let Some(in_flight) = in_flight {
+        in_flight.finish(outcome);
+    }
+}
+
 /// Classifies the end of an attempt by what it says about the path to the endpoint.
 fn path_outcome(end: AttemptEnd) -> PathOutcome {
     match end {
--- a/crates/node/src/loads.rs
+++ b/crates/node/src/loads.rs
@@ -182,11 +182,6 @@
         InFlightCall { node, endpoint, sent_at: now, outcome: PathOutcome::Neutral }
     }
 
-    /// The node that the call was sent from.
-    pub(crate) fn node(&self) -> &'a Node {
-        self.node
-    }
-
     pub(crate) fn finish(mut self, outcome: PathOutcome) {
         self.outcome = outcome;
     }
--- a/crates/node/src/sending.rs
+++ b/crates/node/src/sending.rs
@@ -1,14 +1,16 @@
 //! Sends one attempt to the guard of its endpoint, and waits for the first of several to end.
 
+use std::future::poll_fn;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
-use futures_util::future::select_all;
 use model::{AttemptId, Incarnation, ResultCode, Time};
 use payload::Payload;
 use peer::{CallAnswer, CallError, CallReply, SentAttempt, SilenceAction};
-use routing::{AttemptEnd, Evidence, FenceResult, Idempotence, refusal_evidence};
+use routing::{AttemptEnd, Evidence, FenceResult, refusal_evidence};
+use tokio::sync::oneshot;
 use tokio::time::{Instant, sleep_until, timeout, timeout_at};
 use wire::{Call, EndpointLoad};
 
@@ -31,7 +33,16 @@
     pub(crate) call: Call,
     pub(crate) body: Payload,
     pub(crate) deadline: Time,
-    pub(crate) idempotence: Idempotence,
+    pub(crate) on_silence: OnSilence,
+}
+
+/// What to do when the link of an attempt goes silent. The attempt goes on in either case, since its
+/// answer may still arrive.
+pub(crate) enum OnSilence {
+    /// Report it, so that the request is also sent elsewhere.
+    Report(oneshot::Sender<()>),
+    /// Fence the attempt over another link. If it has not started, it can be sent elsewhere.
+    Fence,
 }
 
 /// An attempt that has ended.
@@ -78,10 +89,10 @@
 
     async fn send_remote(self, peer: Arc<Peer>) -> FinishedAttempt {
         let response_deadline = self.response_deadline();
-        let OutgoingAttempt { node, call, body, deadline, idempotence } = self;
+        let OutgoingAttempt { node, call, body, deadline, on_silence } = self;
         let attempt = call.attempt;
         let (silent_peer, entry_node) = (Arc::clone(&peer), Arc::clone(&node));
-        let on_silence = move |sent| handle_silent_link(entry_node, silent_peer, idempotence, sent);
+        let on_silence = move |sent| handle_silent_link(entry_node, silent_peer, on_silence, sent);
         let sent = node.call_pool.call(peer.addr, call, deadline, body, on_silence);
         let outcome = timeout_at(response_deadline, sent).await;
         let now = node.now();
@@ -129,16 +140,40 @@
     /// Index of the attempt in the record of the request.
     pub(crate) record: usize,
     pub(crate) started: Time,
-    pub(crate) in_flight: InFlightCall<'a>,
+    /// `None` after the link has gone silent.
+    pub(crate) in_flight: Option<InFlightCall<'a>>,
     pub(crate) selected: SelectedEndpoint,
+    /// Reports that the link has gone silent. `None` if that can no longer happen.
+    pub(crate) silence: Option<oneshot::Receiver<()>>,
     pub(crate) outcome: Pin<Box<dyn Future<Output = FinishedAttempt> + Send>>,
 }
 
+impl RunningAttempt<'_> {
+    /// Whether nothing has been received for some time. The attempt may still be answered.
+    pub(crate) fn is_silent(&self) -> bool {
+        self.in_flight.is_none()
+    }
+
+    fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<FinishedAttempt>> {
+        if let Poll::Ready(finished) = self.outcome.as_mut().poll(cx) {
+            return Poll::Ready(Some(finished));
+        }
+        let Some(silence) = &mut self.silence else { return Poll::Pending };
+        let Poll::Ready(reported) = Pin::new(silence).poll(cx) else { return Poll::Pending };
+        self.silence = None;
+        match reported {
+            Ok(()) => Poll::Ready(None),
+            // An attempt that needs no report has dropped the sender.
+            Err(_) => Poll::Pending,
+        }
+    }
+}
+
 /// What remains of a [`RunningAttempt`] at its end.
 pub(crate) struct EndedAttempt<'a> {
     pub(crate) record: usize,
     pub(crate) started: Time,
-    pub(crate) in_flight: InFlightCall<'a>,
+    pub(crate) in_flight: Option<InFlightCall<'a>>,
     pub(crate) selected: SelectedEndpoint,
     pub(crate) finished: FinishedAttempt,
 }
@@ -147,49 +182,61 @@
 pub(crate) enum RaceEvent<'a> {
     /// An attempt has ended; it is no longer among the running ones.
     Ended(Box<EndedAttempt<'a>>),
+    /// The link of the attempt with this index has gone silent.
+    Silent(usize),
     /// The time for a second attempt has come.
     HedgeDue,
 }
 
-/// Waits until one of the running attempts ends, or until `hedge_at`. There must be at least one.
+/// Waits until one of the running attempts ends or goes silent, or until `hedge_at`. There must be at
+/// least one.
 pub(crate) async fn next_event<'a>(
+    node: &Node,
     running: &mut Vec<RunningAttempt<'a>>,
     hedge_at: Option<Time>,
 ) -> RaceEvent<'a> {
-    let node = running[0].in_flight.node();
-    let outcomes = select_all(running.iter_mut().map(|attempt| attempt.outcome.as_mut()));
-    let (finished, index) = match hedge_at {
-        None => {
-            let (finished, index, _) = outcomes.await;
-            (finished, index)
-        }
+    let polled = poll_fn(|cx| {
+        let mut polls = running.iter_mut().enumerate();
+        let ready = polls.find_map(|(index, attempt)| match attempt.poll(cx) {
+            Poll::Ready(finished) => Some((index, finished)),
+            Poll::Pending => None,
+        });
+        ready.map_or(Poll::Pending, Poll::Ready)
+    });
+    let (index, finished) = match hedge_at {
+        None => polled.await,
         Some(at) => tokio::select! {
             biased;
-            (finished, index, _) = outcomes => (finished, index),
+            polled = polled => polled,
             () = sleep_until(node.clock.to_instant(at)) => return RaceEvent::HedgeDue,
         },
     };
+    let Some(finished) = finished else { return RaceEvent::Silent(index) };
     let RunningAttempt { record, started, in_flight, selected, .. } = running.swap_remove(index);
     let ended = EndedAttempt { record, started, in_flight, selected, finished };
     RaceEvent::Ended(Box::new(ended))
 }
 
-/// Decides what to do with a call whose link has gone silent. An idempotent call is abandoned, which
-/// leaves time to try another endpoint. A non-idempotent call is fenced over another link first.
 async fn handle_silent_link(
     node: Arc<Node>,
     peer: Arc<Peer>,
-    idempotence: Idempotence,
+    on_silence: OnSilence,
     sent: SentAttempt,
 ) -> SilenceAction {
     peer.record_failure(node.now(), &"a link went silent during a call");
-    if idempotence == Idempotence::Idempotent {
-        return SilenceAction::GiveUp;
-    }
-    node.metrics.fences.inc();
-    match timeout(FENCE_TIMEOUT, peer.fence(sent)).await {
-        Ok(FenceResult::NotRun) => SilenceAction::NotRun,
-        _ => SilenceAction::KeepWaiting,
+    match on_silence {
+        OnSilence::Report(report) => {
+            // The request may have ended meanwhile.
+            let _ = report.send(());
+            SilenceAction::KeepWaiting
+        }
+        OnSilence::Fence => {
+            node.metrics.fences.inc();
+            match timeout(FENCE_TIMEOUT, peer.fence(sent)).await {
+                Ok(FenceResult::NotRun) => SilenceAction::NotRun,
+                _ => SilenceAction::KeepWaiting,
+            }
+        }
     }
 }
 
--- a/crates/peer/src/call_link.rs
+++ b/crates/peer/src/call_link.rs
@@ -47,8 +47,6 @@
 /// What to do if a link receives nothing while a call waits for its answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SilenceAction {
-    /// Report the outcome as unknown, since the call may be sent to another endpoint.
-    GiveUp,
     /// Report that the call did not run: the other process confirmed on another link that it will
     /// not run it.
     NotRun,
@@ -200,7 +198,6 @@
                 event = monitor.next(sent) => match event {
                     SilenceEvent::SendPing => dialed.link.ping().await.map_err(|_| lost())?,
                     SilenceEvent::Decided(SilenceAction::KeepWaiting) => {}
-                    SilenceEvent::Decided(SilenceAction::GiveUp) => return Err(lost()),
                     SilenceEvent::Decided(SilenceAction::NotRun) => {
                         return Err(CallError::Refused {
                             code: ResultCode::AttemptFenced,
--- a/crates/standins/src/upstream.rs
+++ b/crates/standins/src/upstream.rs
@@ -43,6 +43,8 @@
 pub struct Behaviour {
     /// Time that a call runs, in milliseconds.
     pub service_ms: u64,
+    /// Time between the parts of a streamed answer, in milliseconds.
+    pub part_ms: u64,
     /// Fails one call in this many; 0 fails none.
     pub fail_one_in: u64,
     /// Fails only paths that start with this prefix.
@@ -63,6 +65,7 @@
     fn default() -> Behaviour {
         Behaviour {
             service_ms: 0,
+            part_ms: 0,
             fail_one_in: 0,
             fail_prefix: String::new(),
             shed: false,
@@ -232,7 +235,7 @@
     if failing && path.starts_with(&behaviour.fail_prefix) {
         return Ok(plain(500, "failing on purpose"));
     }
-    Ok(content(path, body.to_bytes()))
+    Ok(content(path, body.to_bytes(), Duration::from_millis(behaviour.part_ms)))
 }
 
 /// Remembers a call and returns its number.
@@ -249,7 +252,7 @@
     counts.runs
 }
 
-fn content(path: &str, body: Bytes) -> Response<Body> {
+fn content(path: &str, body: Bytes, pause: Duration) -> Response<Body> {
     // Routes have prefixes of their own in front of these paths.
     let size = |name| path.rsplit_once(name).and_then(|(_, size): (_, &str)| size.parse().ok());
     if path == "/echo" {
@@ -259,18 +262,19 @@
         return plain(200, vec![b'x'; size]);
     }
     if let Some(size) = size("/chunked/") {
-        return Response::new(parts(size, size));
+        return Response::new(parts(size, size, pause));
     }
     if let Some(size) = size("/cut/") {
-        let mut answer = Response::new(parts(size / 2, size));
+        let mut answer = Response::new(parts(size / 2, size, pause));
         answer.headers_mut().insert("content-length", HeaderValue::from(size));
         return answer;
     }
     plain(200, "ok")
 }
 
-/// A streamed body that sends `sent` bytes, and breaks off if that is less than `announced`.
-fn parts(sent: usize, announced: usize) -> Body {
+/// A streamed body that sends `sent` bytes with pauses between its parts, and breaks off if that is less
+/// than `announced`.
+fn parts(sent: usize, announced: usize, pause: Duration) -> Body {
     let (mut tx, body) = Channel::<Bytes, Dropped>::new(2);
     tokio::spawn(async move {
         let mut left = sent;
@@ -280,6 +284,9 @@
                 return;
             }
             left -= part;
+            if !pause.is_zero() {
+                sleep(pause).await;
+            }
         }
         if sent < announced {
             tx.abort(Dropped);
