Add mutated input for every decoder of bytes from outside

Cause: odd frames, announcements, entries, heads, responses and settings were tested by single cases and by properties of some types only; nothing drew inputs of no plan, and no corpus kept what was found.

--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,7 +1,8 @@
-//! Developer commands: tests, demo, load and slopes.
+//! Developer commands: tests, demo, fuzzing, load and slopes.
 
 mod demo;
 mod fleet;
+mod fuzzing;
 mod http_libraries;
 mod load;
 mod slopes;
@@ -17,6 +18,7 @@
 #[derive(Debug, Clone)]
 enum Command {
     Demo,
+    Fuzz(fuzzing::Options),
     Load(load::Options),
     HttpLibraries(Option<(String, SocketAddr)>),
     Test,
@@ -30,6 +32,7 @@
     }
     match command {
         Command::Demo => demo::run(),
+        Command::Fuzz(options) => fuzzing::run(&options),
         Command::Load(options) => load::run(&options),
         Command::HttpLibraries(server) => http_libraries::run(server.as_ref()),
         Command::Test => test::run(),
@@ -41,7 +44,7 @@
     fn is_measurement(&self) -> bool {
         match self {
             Command::Load(_) | Command::Slopes => true,
-            Command::Demo | Command::HttpLibraries(_) | Command::Test => false,
+            Command::Demo | Command::Fuzz(_) | Command::HttpLibraries(_) | Command::Test => false,
         }
     }
 }
@@ -62,6 +65,11 @@
         .to_options()
         .command("demo")
         .help("Start a small fleet, send requests through it and say what happened");
+    let fuzz = fuzzing::options()
+        .map(Command::Fuzz)
+        .to_options()
+        .command("fuzz")
+        .help("Feed mutated input to every decoder of bytes from outside");
     let load = load::options().map(Command::Load).to_options().command("load").help(
         "Measure latency, calls per core and memory of a small fleet under an open-loop load",
     );
@@ -78,7 +86,7 @@
         .to_options()
         .command("slopes")
         .help("Measure memory, bytes and processor time per object and per decision");
-    construct!([demo, load, http_libraries, test, slopes])
+    construct!([demo, fuzz, load, http_libraries, test, slopes])
         .to_options()
         .descr("Developer commands of zinniacross")
 }
