Play a series of graceful stops under load

Guards against calls that a stop cuts off or refuses on kept and new connections, with bodies under way, at the stopping node and behind it, in stops of which every third overlaps with the next.

--- a/crates/zinniacross/tests/common/caller.rs
+++ b/crates/zinniacross/tests/common/caller.rs
@@ -20,7 +20,7 @@
     Cut { status: u16, received: usize },
 }
 
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Answer {
     pub status: u16,
     pub headers: Vec<(String, String)>,
--- a/crates/zinniacross/tests/stops.rs
+++ b/crates/zinniacross/tests/stops.rs
@@ -2,12 +2,15 @@
 
 mod common;
 
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use common::caller::Lost;
-use common::{Connections, Done, Fleet, Plan, millis, seconds};
-use standins::process::Signal;
+use common::{Caller, Connections, Done, Fleet, Plan, millis, seconds};
+use standins::process::{Signal, wait_until};
 use standins::upstream::Behaviour;
 
 fn fleet(slots: u32, service_ms: u64) -> Fleet {
@@ -282,3 +285,125 @@
     }
     assert!(served >= 2, "only {served} calls were served");
 }
+
+/// Number of stops in a series, unless the variable `ZINNIACROSS_STOPS` holds another.
+const STOPS: usize = 6;
+
+/// What the callers of a series have met.
+#[derive(Debug, Default)]
+struct SeriesResult {
+    served: usize,
+    /// Calls on a connection that was used before, or on a new one of which a response head has been
+    /// seen, that ended without a complete 200.
+    failed: Vec<Done>,
+    /// First calls on new connections that were reset, see [`check_closing_listener`].
+    reset: Vec<Done>,
+}
+
+/// Addresses of the entries. A restarted node has another one.
+type Entries = Mutex<Vec<SocketAddr>>;
+
+/// A caller that knows all entries: it goes to the next one when one refuses connections or says that it
+/// closes the connection. Sends its requests in parts if `pause` is not zero.
+fn roam(entries: &Entries, first: usize, pause: Duration, stop: &AtomicBool) -> SeriesResult {
+    let mut result = SeriesResult::default();
+    let mut entry = first % 3;
+    let caller_of = |entry: usize| Caller::new(entries.lock().unwrap()[entry]);
+    let mut caller = caller_of(entry);
+    let mut is_new = true;
+    for number in 0.. {
+        if stop.load(Ordering::Relaxed) {
+            break;
+        }
+        let target = format!("/orders/{first}-{number}");
+        let started = Instant::now();
+        let sent = caller.send_in_parts("POST", &target, "", (b"half", b"half"), pause);
+        let is_told = matches!(&sent, Ok(a) if a.header("connection") == Some("close"));
+        let is_served = matches!(&sent, Ok(answer) if answer.status == 200);
+        let is_refused = sent == Err(Lost::Refused);
+        let done = Done { entry, target, started, ended: Instant::now(), result: sent };
+        match (is_served, is_refused, is_new && matches!(done.result, Err(Lost::NoAnswer(_)))) {
+            (true, ..) => result.served += 1,
+            (_, true, _) => {}
+            (.., true) => result.reset.push(done),
+            _ => result.failed.push(done),
+        }
+        is_new = !is_served || is_told;
+        if is_new {
+            entry = (entry + 1) % 3;
+            caller = caller_of(entry);
+        }
+        thread::sleep(millis(2));
+    }
+    result
+}
+
+/// Guards against a call that is cut off or refused in one of many stops, some of which overlap: calls on
+/// kept and on new connections, with bodies under way, that run at the stopping node or behind it.
+#[test]
+fn a_series_of_stops_cuts_no_call() {
+    let stops = std::env::var("ZINNIACROSS_STOPS").map_or(STOPS, |text| text.parse().unwrap());
+    let mut fleet = Fleet::start(3);
+    let behaviour = Behaviour { service_ms: 40, ..Behaviour::default() };
+    for node in 0..3 {
+        fleet.upstream(node, "orders", 16, behaviour.clone());
+    }
+    fleet.route("orders", "open", 5000);
+    fleet.wait_served("/orders/ready", None);
+    let entries = Mutex::new(fleet.nodes.iter().map(|node| node.caller).collect());
+    let is_over = AtomicBool::new(false);
+    let results: Vec<SeriesResult> = thread::scope(|scope| {
+        let (entries, is_over_ref) = (&entries, &is_over);
+        let callers: Vec<_> = (0..12)
+            .map(|first| {
+                let pause = millis([0, 0, 0, 60][first % 4]);
+                scope.spawn(move || roam(entries, first, pause, is_over_ref))
+            })
+            .collect();
+        {
+            let _stop = common::StopOnDrop(&is_over);
+            stop_in_series(&mut fleet, stops, entries, &behaviour);
+        }
+        callers.into_iter().map(|caller| caller.join().unwrap()).collect()
+    });
+    let served: usize = results.iter().map(|result| result.served).sum();
+    let failed: Vec<&Done> = results.iter().flat_map(|result| &result.failed).collect();
+    let reset = results.iter().map(|result| result.reset.len()).sum::<usize>();
+    println!("{stops} stops: {served} calls served, {} failed, {reset} reset", failed.len());
+    assert!(failed.is_empty(), "such as {:?}", &failed[..failed.len().min(5)]);
+    assert!(reset <= 2 * stops, "{reset} connections reset in {stops} stops");
+}
+
+/// Stops and restarts one node after the other. The stop of every third one overlaps with that of the
+/// next.
+fn stop_in_series(fleet: &mut Fleet, stops: usize, entries: &Entries, behaviour: &Behaviour) {
+    let mut stopped = 0;
+    while stopped < stops {
+        let first = stopped % 3;
+        let nodes = if stopped % 4 == 2 { vec![first, (first + 1) % 3] } else { vec![first] };
+        for node in &nodes {
+            fleet.signal(*node, Signal::Terminate);
+            thread::sleep(millis(150));
+        }
+        for node in &nodes {
+            let ended = fleet.nodes[*node].process.wait(seconds(20));
+            assert_eq!(ended, Some(true), "{}", fleet.log(*node));
+            fleet.restart(*node);
+            // The restarted node also has another address for announcements.
+            fleet.upstreams[*node].kill();
+            fleet.upstreams[*node] =
+                fleet.start_upstream(*node, *node, "orders", 16, behaviour.clone());
+        }
+        for node in &nodes {
+            entries.lock().unwrap()[*node] = fleet.nodes[*node].caller;
+            fleet.wait_served_by(*node, "/orders/ready", None);
+            // An entry prefers the endpoint beside it.
+            let is_in_use = wait_until(seconds(15), || {
+                let _ = fleet.caller(*node).get("/orders/ready", None);
+                fleet.upstreams[*node].runs() > 0
+            });
+            assert!(is_in_use, "the endpoint of node {node} is not in use again");
+        }
+        stopped += nodes.len();
+    }
+}
