Return a server error at once when only silent attempts are left

Cause: since a silent attempt goes on, a request whose other attempt had ended with a server error waited for the silent one, up to the deadline, with the answer at hand. So did one at the exit of the node, which then got 2005 instead of that answer.

Ruled out: an attempt that is not silent may still succeed soon; the request waits for it as before.

--- a/crates/node/src/attempts.rs
+++ b/crates/node/src/attempts.rs
@@ -114,13 +114,15 @@
                     None => action = attempts.final_action(self.no_endpoint_code()),
                 }
             }
-            if running.is_empty() {
+            // A server error is not held back for a silent attempt, which may stay so until the deadline.
+            let is_silent = running.iter().all(RunningAttempt::is_silent);
+            if running.is_empty() || is_silent && server_error.is_some() {
                 return server_error.ok_or(final_code(action));
             }
             let hedge_at = self.hedge_at(&attempts, &running);
             let event = tokio::select! {
                 event = next_event(self.node, &mut running, hedge_at) => event,
-                () = &mut exiting => return Err(ResultCode::StoppedAfterStart),
+                () = &mut exiting => return server_error.ok_or(ResultCode::StoppedAfterStart),
             };
             action = match event {
                 RaceEvent::HedgeDue => {
--- a/crates/zinniacross/tests/faults.rs
+++ b/crates/zinniacross/tests/faults.rs
@@ -5,7 +5,7 @@
 
 use std::collections::HashMap;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use common::caller::{Answer, Lost};
 use common::{Fleet, millis, seconds};
@@ -312,6 +312,30 @@
     });
 }
 
+/// Guards against an answer that is held back until the deadline because an earlier attempt is silent.
+#[test]
+fn a_server_error_is_not_held_back_for_a_silent_attempt() {
+    let (fleet, upstreams) = start_fleet();
+    upstreams.iter().for_each(|upstream| upstream.set_behaviour(Step::Running.behaviour()));
+    let call = |fleet: &Fleet| {
+        let started = Instant::now();
+        (make_call(fleet, Step::Running, "GET", 0), started.elapsed())
+    };
+    let (result, took) = thread::scope(|scope| {
+        let call = scope.spawn(|| call(&fleet));
+        thread::sleep(millis(300));
+        let _others = start_upstreams(&fleet, OTHER_GUARD, |behaviour| {
+            *behaviour = Behaviour { fail_one_in: 1, ..Behaviour::default() };
+        });
+        thread::sleep(FAULT_AT - millis(300));
+        fleet.signal(GUARD, Signal::Pause);
+        call.join().unwrap()
+    });
+    fleet.signal(GUARD, Signal::Resume);
+    assert_eq!(result.map(|answer| answer.status), Ok(500));
+    assert!(took < seconds(5), "the answer took {took:?}");
+}
+
 /// Pauses around the time limits between nodes: idle check of a link (150 and 250 ms), ping (400 ms) and
 /// pong (300 ms) of a call, handshake (250 ms), fence (500 ms), unacknowledged frames (2 s), and backoff
 /// of control links (4 s).
