--- a/crates/fuzz/src/connections.rs
+++ b/crates/fuzz/src/connections.rs
@@ -141,6 +141,10 @@
         "caller-bytes"
     }
 
+    fn uses_connections(&self) -> bool {
+        true
+    }
+
     fn seeds(&self) -> Vec<Vec<u8>> {
         [
             "GET /a HTTP/1.1\r\nhost: a\r\n\r\nGET /b HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n",
@@ -183,6 +187,10 @@
         "upstream-bytes"
     }
 
+    fn uses_connections(&self) -> bool {
+        true
+    }
+
     fn seeds(&self) -> Vec<Vec<u8>> {
         [
             "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nfirst",
@@ -276,6 +284,10 @@
         "store-bytes"
     }
 
+    fn uses_connections(&self) -> bool {
+        true
+    }
+
     fn seeds(&self) -> Vec<Vec<u8>> {
         let bodies: [&[u8]; 2] = [
             br#"{"items":[{"meta":{"name":"account.big","rev":4},
@@ -290,8 +302,7 @@
     }
 }
 
-/// One entry among those of a list and of the events, whose text is balanced JSON or not JSON at all. If
-/// the list is JSON, the entry hides no other.
+/// One entry of a list. Unless its text breaks the JSON of the list, the list can be read.
 struct StoreEntries;
 
 impl Target for StoreEntries {
@@ -299,6 +310,10 @@
         "store-entries"
     }
 
+    fn uses_connections(&self) -> bool {
+        true
+    }
+
     fn seeds(&self) -> Vec<Vec<u8>> {
         [
             r#"{"meta":{"name":"account.big","rev":4},"spec":{"write_id":"w1","document":{"rate":"5/s","burst":10}}}"#,
@@ -315,7 +330,7 @@
     fn run(&self, input: &[u8]) -> Result<(), String> {
         let list = [br#"{"items":["#, input, br#"],"hasMore":false,"currentRev":9}"#].concat();
         let [listed, ..] = read_from_store(&store_response(&list))?;
-        // serde_json reads an entry of any depth only if it may skip it, so its own limits decide here.
+        // A list with an entry that is not JSON is not JSON either, and may be refused as a whole.
         let entries = format!("[{}]", String::from_utf8_lossy(input));
         let is_json = std::str::from_utf8(input).is_ok()
             && serde_json::from_str::<Vec<&serde_json::value::RawValue>>(&entries).is_ok();
--- a/crates/fuzz/src/lib.rs
+++ b/crates/fuzz/src/lib.rs
@@ -26,6 +26,10 @@
 pub trait Target {
     /// Name of the target and of its directory in the corpus.
     fn name(&self) -> &'static str;
+    /// Whether a run opens connections, which takes some milliseconds.
+    fn uses_connections(&self) -> bool {
+        false
+    }
     /// Valid inputs, from which mutations start.
     fn seeds(&self) -> Vec<Vec<u8>>;
     /// Runs the decoder on one input. Returns what is wrong as an error.
--- a/crates/fuzz/tests/corpus.rs
+++ b/crates/fuzz/tests/corpus.rs
@@ -5,7 +5,7 @@
 /// Seed of the mutations.
 const SEED: u64 = 0xf022;
 
-/// Number of mutations for targets that use connections, which take some milliseconds each.
+/// Number of mutations for targets that use connections.
 const CONNECTION_RUNS: u64 = 40;
 
 /// Number of mutations for the others.
@@ -18,9 +18,7 @@
     let mut broken = Vec::new();
     for target in targets() {
         let inputs = replay(&*target, &corpus_dir()).unwrap();
-        let is_plain = ["frames", "objects", "announcements", "settings", "texts", "heads"]
-            .contains(&target.name());
-        let runs = if is_plain { RUNS } else { CONNECTION_RUNS };
+        let runs = if target.uses_connections() { CONNECTION_RUNS } else { RUNS };
         let check_run = |run| check(&*target, &mutate(&inputs, SEED.wrapping_add(run))).err();
         broken.extend((0..runs).filter_map(check_run).map(|finding| finding.to_string()));
     }
