Write each log line in one call of the operating system

The writer thread formatted a line and its line feed onto standard output, which passes a line of more than its buffer on in pieces. Whoever reads the log at that moment, or writes to the same file, meets half a line.

Change: the line and its line feed are one buffer and one write. The test of the log now ends the node first and reads all it wrote, the last line included, since a file can be read during a write even so.

--- a/crates/node/src/logging.rs
+++ b/crates/node/src/logging.rs
@@ -99,17 +99,24 @@
 
 fn write_lines(rx: &Receiver<String>, pending: &PendingLines) {
     let mut reported = 0;
-    while let Ok(line) = rx.recv() {
-        let mut out = std::io::stdout().lock();
-        // A write error can't be reported, since standard output is the only log destination.
-        let _ = writeln!(out, "{line}");
+    while let Ok(mut line) = rx.recv() {
+        line.push('\n');
+        write_whole(&line);
         let dropped = dropped_lines();
         if dropped > reported {
-            let _ =
-                writeln!(out, "{{\"level\":\"WARN\",\"target\":\"log\",\"dropped\":{dropped}}}");
+            write_whole(&format!(
+                "{{\"level\":\"WARN\",\"target\":\"log\",\"dropped\":{dropped}}}\n"
+            ));
             reported = dropped;
         }
         *pending.count.lock().unwrap_or_else(PoisonError::into_inner) -= 1;
         pending.written.notify_all();
     }
 }
+
+/// Writes a line with its line feed in one call of the operating system, as far as that takes it.
+/// Formatted output passes a long line on in pieces, and a reader then sees half a line.
+fn write_whole(line: &str) {
+    // A write error can't be reported, since standard output is the only log destination.
+    let _ = std::io::stdout().lock().write_all(line.as_bytes());
+}
--- a/crates/zinniacross/tests/users_platform.rs
+++ b/crates/zinniacross/tests/users_platform.rs
@@ -376,7 +376,7 @@
 /// Guards against a node that can't be observed, and against settings that need a restart.
 #[test]
 fn metrics_log_and_reload() {
-    let site = Site::start();
+    let mut site = Site::start();
     let (head, text) = send(site.metrics, "GET", "/metrics", "");
     assert_eq!(status(&head), 200);
     assert!(text.contains("zinniacross_members"), "{text}");
@@ -399,7 +399,12 @@
     site.node.process.signal(Signal::Hangup).unwrap();
     assert!(wait_until(SOON, || site.log().contains("the settings are kept")));
     assert_eq!(status(&site.call("GET", "/open/1", "").0), 200);
-    for line in site.log().lines() {
+    // The file of a running node may end in a line that is still being written.
+    site.node.process.signal(Signal::Terminate).unwrap();
+    site.node.process.wait(SOON).expect("the node ends");
+    let log = site.log();
+    assert!(log.ends_with('\n'), "the last line is cut: {log}");
+    for line in log.lines() {
         serde_json::from_str::<serde_json::Value>(line)
             .unwrap_or_else(|err| panic!("{err}: {line}"));
     }
