Avoid a suspect endpoint apart for calls of each kind

Cause: an entry avoided an endpoint for 0.3 to 1.5 s after each refusal with 1011, for all calls.

Change: the record of an endpoint holds a backoff for each kind of call. An idempotent call avoids an endpoint after a refused idempotent call only; a non-idempotent one after a refusal of either kind.

--- a/crates/node/src/attempts.rs
+++ b/crates/node/src/attempts.rs
@@ -264,7 +264,7 @@
         match end {
             AttemptEnd::Refused { code: ResultCode::EndpointSuspect, .. } => {
                 self.suspects.push(entry.name.clone());
-                self.node.loads.record_suspect(&entry.name, now);
+                self.node.loads.record_suspect(&entry.name, self.idempotence, now);
             }
             AttemptEnd::Refused {
                 code: ResultCode::EndpointUnknown | ResultCode::EndpointLeaving,
--- a/crates/node/src/choice.rs
+++ b/crates/node/src/choice.rs
@@ -7,7 +7,7 @@
 use membership::EndpointEntry;
 use model::{EndpointName, FailureDomain, NodeName, Selector, Time};
 use routing::{
-    BusyPolicy, CallAttempts, Candidate, Candidates, Choice, MAX_EXPECTED_WAIT, Stage,
+    BusyPolicy, CallAttempts, Candidate, Candidates, Choice, Idempotence, MAX_EXPECTED_WAIT, Stage,
     SuspectPolicy,
 };
 
@@ -48,6 +48,7 @@
     own_domain: &'a FailureDomain,
     members: &'a HashMap<NodeName, Arc<Peer>>,
     loads: LockedLoads<'a>,
+    idempotence: Idempotence,
     avoidance: Avoidance,
 }
 
@@ -72,7 +73,8 @@
         let member = self.members.get(&*entry.node);
         let reachability =
             member.map_or(Reachability::Reachable, |peer| peer.reachability(self.now));
-        let is_avoided = known.is_suspect || reachability == Reachability::BackingOff;
+        let is_avoided =
+            known.is_suspect_for(self.idempotence) || reachability == Reachability::BackingOff;
         let weight = match (is_usable, is_avoided, self.avoidance) {
             (false, ..) | (true, true, Avoidance::Enabled) => 0,
             _ => 100,
@@ -153,6 +155,7 @@
             own_domain: &node.info().domain,
             members: &members,
             loads: node.loads.lock_all(),
+            idempotence: self.idempotence,
             avoidance,
         };
         let mut rng = lock(&node.rng);
--- a/crates/node/src/loads.rs
+++ b/crates/node/src/loads.rs
@@ -6,7 +6,7 @@
 
 use health::PathPenalty;
 use model::{EndpointName, Time};
-use routing::{KnownLoad, LoadView};
+use routing::{Idempotence, KnownLoad, LoadView};
 use wire::EndpointLoad;
 
 use crate::shared::{Node, SharedMap, lock};
@@ -40,7 +40,11 @@
 struct EndpointRecord {
     view: LoadView,
     path: PathPenalty,
+    /// Refusals of idempotent calls because the endpoint is suspect.
     suspect: Backoff,
+    /// The same for non-idempotent calls. A guard refuses these for longer, since idempotent calls
+    /// are its probes, so their refusals must not keep idempotent calls away.
+    suspect_non_idempotent: Backoff,
     absent: Backoff,
     last_update: Time,
 }
@@ -74,10 +78,18 @@
     }
 
     /// Records that a guard has refused a call because the endpoint is suspect.
-    pub(crate) fn record_suspect(&self, endpoint: &EndpointName, now: Time) {
+    pub(crate) fn record_suspect(
+        &self,
+        endpoint: &EndpointName,
+        idempotence: Idempotence,
+        now: Time,
+    ) {
         let mut endpoints = lock(&self.endpoints);
         let record = endpoints.entry(endpoint.clone()).or_default();
-        record.suspect.record_refusal(now);
+        match idempotence {
+            Idempotence::Idempotent => record.suspect.record_refusal(now),
+            Idempotence::NonIdempotent => record.suspect_non_idempotent.record_refusal(now),
+        }
         record.last_update = now;
     }
 
@@ -107,6 +119,7 @@
             PathOutcome::Answered(overhead) => {
                 record.path.record_success(overhead, now);
                 record.suspect.refusals = 0;
+                record.suspect_non_idempotent.refusals = 0;
                 record.absent.refusals = 0;
             }
             PathOutcome::Failed => record.path.record_failure(now),
@@ -146,20 +159,34 @@
     pub(crate) load: Option<KnownLoad>,
     /// Cost added for recent failures or high latency of the path.
     pub(crate) path_penalty: Duration,
-    /// Whether its guard has recently refused a call because the endpoint is suspect.
+    /// Whether its guard has recently refused an idempotent call because the endpoint is suspect.
+    refuses_idempotent: bool,
+    /// Whether its guard has recently refused a call of either kind for that reason.
     pub(crate) is_suspect: bool,
     /// Whether its node has recently refused a call because the endpoint is unknown or leaving.
     pub(crate) is_absent: bool,
 }
 
+impl EndpointSnapshot {
+    /// Whether calls of this kind avoid the endpoint because it is suspect.
+    pub(crate) fn is_suspect_for(&self, idempotence: Idempotence) -> bool {
+        match idempotence {
+            Idempotence::Idempotent => self.refuses_idempotent,
+            Idempotence::NonIdempotent => self.is_suspect,
+        }
+    }
+}
+
 impl EndpointRecord {
     fn snapshot(&self, now: Time) -> EndpointSnapshot {
         let weight = self.path.weight(now, Some(EXPECTED_OVERHEAD));
         let lost_percent = 100 - u32::from(weight.value());
+        let refuses_idempotent = now < self.suspect.until;
         EndpointSnapshot {
             load: self.view.current(now),
             path_penalty: MAX_PATH_PENALTY * lost_percent / 100,
-            is_suspect: now < self.suspect.until,
+            refuses_idempotent,
+            is_suspect: refuses_idempotent || now < self.suspect_non_idempotent.until,
             is_absent: now < self.absent.until,
         }
     }
