Follow the limits of the configuration on what callers send

Cause: the adapter did not read `limits`, and the bounds of the settings were in force everywhere: heads of 16 KB, bodies of 64 MB, 60 s of idle time. They equal or exceed those of the deployments seen so far, but a deployment that allows more had its requests refused with 431 or 413, or its idle connections closed under callers that use them again; one that allows less was not obeyed.

Ruled out: other values in the template of the settings, since operators change the configuration while nodes run, and settings of the listener need a restart.

A connection takes the bounds on heads and idle time when it is accepted, a request that on its body. The time of a head is counted from its first byte, and not while a response is in progress.

--- a/crates/caller/src/framing.rs
+++ b/crates/caller/src/framing.rs
@@ -23,7 +23,7 @@
 use model::ResultCode;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::time::Sleep;
+use tokio::time::{Sleep, sleep};
 
 use crate::chunks::ChunkScanner;
 use crate::early::EarlyRequests;
@@ -74,10 +74,19 @@
     }
 }
 
+/// Bounds on the head of a request.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct HeadLimits {
+    /// Maximum size in bytes.
+    pub(crate) max_bytes: usize,
+    /// Timeout from the first byte to the last. `None` leaves the time to hyper.
+    pub(crate) timeout: Option<Duration>,
+}
+
 /// A connection that validates the framing of requests while they are read.
 pub(crate) struct CheckedStream {
     stream: TcpStream,
-    max_head_bytes: usize,
+    head_limits: HeadLimits,
     rejected_head: Arc<RejectedHead>,
     early: Arc<EarlyRequests>,
     state: State,
@@ -96,6 +105,8 @@
     ends_scan: bool,
     /// Heads found by [`CheckedStream::scan_ahead`].
     ahead: Vec<AheadHead>,
+    /// Timer of a head of which a part has been received.
+    head_timer: Option<Pin<Box<Sleep>>>,
     /// Timer that limits the wait for the caller to close its side.
     linger: Option<Pin<Box<Sleep>>>,
 }
@@ -115,13 +126,13 @@
 impl CheckedStream {
     pub(crate) fn new(
         stream: TcpStream,
-        max_head_bytes: usize,
+        head_limits: HeadLimits,
         rejected_head: Arc<RejectedHead>,
         early: Arc<EarlyRequests>,
     ) -> Self {
         CheckedStream {
             stream,
-            max_head_bytes,
+            head_limits,
             rejected_head,
             early,
             state: State::Head(0),
@@ -132,6 +143,7 @@
             scanned_buf_bytes: 0,
             ends_scan: false,
             ahead: Vec::new(),
+            head_timer: None,
             linger: None,
         }
     }
@@ -175,7 +187,7 @@
             Ok(end) => end,
             Err(code) => return self.reject(code),
         };
-        if end.unwrap_or(self.buf.len()) > self.max_head_bytes {
+        if end.unwrap_or(self.buf.len()) > self.head_limits.max_bytes {
             return self.reject(ResultCode::HeadTooLarge);
         }
         let Some(end) = end else {
@@ -186,6 +198,7 @@
             Err(code) => self.reject(code),
             Ok(head) => {
                 self.heads_passed += 1;
+                self.head_timer = None;
                 self.checked_bytes = end;
                 match self.scanned {
                     (0, _) => self.found_head(self.heads_passed, 0, end, &head),
@@ -238,7 +251,7 @@
             let Ok(Some(length)) = find_head_end(&self.buf[start..], 0) else { return };
             let end = start + length;
             let Ok(head) = check_head(&self.buf[start..end]) else { return };
-            if length > self.max_head_bytes || head.framing != Framing::ContentLength(0) {
+            if length > self.head_limits.max_bytes || head.framing != Framing::ContentLength(0) {
                 return;
             }
             self.scanned = (bytes + length, heads + 1);
@@ -315,11 +328,28 @@
                 }
                 _ => {}
             }
-            if ready!(poll_fill_buffer(&mut this.stream, cx, &mut this.buf))? == 0 {
+            let filled = poll_fill_buffer(&mut this.stream, cx, &mut this.buf);
+            if filled.is_pending() && this.poll_head_timeout(cx).is_ready() {
+                return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
+            }
+            if ready!(filled)? == 0 {
                 return Poll::Ready(Ok(()));
             }
         }
     }
+
+    /// Resolves when the caller has taken too long for the rest of a head. The head behind a request
+    /// in progress is not timed, since an error here would cut the response.
+    fn poll_head_timeout(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        let is_partial = matches!(self.state, State::Head(_)) && !self.buf.is_empty();
+        let timeout = self.head_limits.timeout.filter(|_| is_partial);
+        let Some(timeout) = timeout.filter(|_| !self.early.is_in_progress()) else {
+            self.head_timer = None;
+            return Poll::Pending;
+        };
+        let timer = self.head_timer.get_or_insert_with(|| Box::pin(sleep(timeout)));
+        timer.as_mut().poll(cx)
+    }
 }
 
 /// Reads a body of known length directly into the buffer of hyper.
@@ -394,8 +424,7 @@
                 return Poll::Ready(Ok(()));
             }
         }
-        let linger =
-            self.linger.get_or_insert_with(|| Box::pin(tokio::time::sleep(LINGER_TIMEOUT)));
+        let linger = self.linger.get_or_insert_with(|| Box::pin(sleep(LINGER_TIMEOUT)));
         if linger.as_mut().poll(cx).is_ready() {
             return Poll::Ready(Ok(()));
         }
--- a/crates/caller/src/server.rs
+++ b/crates/caller/src/server.rs
@@ -14,7 +14,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use log::warn;
-use model::{HeaderNames, RequestId, ResultCode};
+use model::{CallerLimits, HeaderNames, RequestId, ResultCode};
 use payload::{BodyLimits, Payload};
 use rand::RngExt;
 use socket2::SockRef;
@@ -24,7 +24,9 @@
 use tokio::time::{sleep, timeout};
 
 use crate::early::EarlyRequests;
-use crate::framing::{AheadHead, CheckedStream, ReadAheadState, RejectedHead, SharedStream};
+use crate::framing::{
+    AheadHead, CheckedStream, HeadLimits, ReadAheadState, RejectedHead, SharedStream,
+};
 use crate::head::MAX_HEADERS;
 use crate::idle::{ConnectionActivity, Eviction, IdleConnections};
 use crate::sanitize::{PresentedKey, sanitize};
@@ -59,12 +61,29 @@
     pub max_head_bytes: usize,
     /// Timeout for receiving a complete head, which also limits how long a connection may be idle.
     pub idle_timeout: Duration,
+    /// Timeout from the first byte of a head to its last, in addition to `idle_timeout`. `None` sets
+    /// no limit of its own.
+    pub head_timeout: Option<Duration>,
     /// Limits on request bodies. The stall timeout also holds for callers that do not read.
     pub body: BodyLimits,
     /// Names of the headers that callers use.
     pub names: HeaderNames,
 }
 
+impl CallerConfig {
+    /// Returns this configuration with the bounds that `limits` contains instead of its own.
+    fn bounded_by(&self, limits: CallerLimits) -> CallerConfig {
+        let max_bytes = limits.max_body_bytes.unwrap_or(self.body.max_bytes);
+        CallerConfig {
+            max_head_bytes: limits.max_head_bytes.map_or(self.max_head_bytes, |n| n as usize),
+            idle_timeout: limits.idle_timeout().unwrap_or(self.idle_timeout),
+            head_timeout: limits.head_timeout().or(self.head_timeout),
+            body: BodyLimits { max_bytes, ..self.body },
+            ..self.clone()
+        }
+    }
+}
+
 /// A request whose head no longer contains the API key.
 #[derive(Debug)]
 pub struct CallerRequest {
@@ -101,6 +120,11 @@
     fn may_start_early(&self, _method: &Method, _host: &str, _target: &str) -> bool {
         false
     }
+    /// Bounds on what callers may send, instead of those in [`CallerConfig`]. A connection keeps the
+    /// bounds on its heads and its idle time, a request that on its body.
+    fn limits(&self) -> CallerLimits {
+        CallerLimits::default()
+    }
     /// Called when the server rejects a request before it reaches [`CallerHandler::handle`].
     fn refused(&self, id: &RequestId, code: ResultCode);
 }
@@ -203,16 +227,19 @@
     _permit: OwnedSemaphorePermit,
 ) {
     let ConnectionContext { idle, config, handler, mut shutdown, .. } = context;
+    let config = config.bounded_by(handler.limits());
     let _ = stream.set_nodelay(true);
     let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(config.body.stall_timeout));
     let rejected_head = Arc::new(RejectedHead::default());
     let early = Arc::<EarlyRequests>::default();
-    let (max_head_bytes, rejected) = (config.max_head_bytes, Arc::clone(&rejected_head));
-    let stream = CheckedStream::new(stream, max_head_bytes, rejected, Arc::clone(&early));
+    let head = HeadLimits { max_bytes: config.max_head_bytes, timeout: config.head_timeout };
+    let stream = CheckedStream::new(stream, head, Arc::clone(&rejected_head), Arc::clone(&early));
     let stream = SharedStream::new(stream);
+    let idle_timeout = config.idle_timeout + config.head_timeout.unwrap_or_default();
+    let max_buf_size = config.max_head_bytes.max(HYPER_MIN_BUFFER_BYTES);
     let requests = Arc::new(ConnectionRequests {
-        limits: config.body,
         names: config.names,
+        config,
         handler,
         early: Arc::clone(&early),
         stopping: shutdown.clone(),
@@ -233,8 +260,8 @@
     });
     let conn = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(config.idle_timeout)
-        .max_buf_size(config.max_head_bytes.max(HYPER_MIN_BUFFER_BYTES))
+        .header_read_timeout(idle_timeout)
+        .max_buf_size(max_buf_size)
         .max_headers(MAX_HEADERS)
         .serve_connection(TokioIo::new(stream.clone()), service);
     tokio::pin!(conn);
@@ -288,7 +315,7 @@
 
 /// The requests of one connection, and how they are handled.
 struct ConnectionRequests {
-    limits: BodyLimits,
+    config: CallerConfig,
     names: HeaderNames,
     handler: Arc<dyn CallerHandler>,
     early: Arc<EarlyRequests>,
@@ -312,11 +339,12 @@
             None => {
                 let (head, body) = req.into_parts();
                 let body_length = body.size_hint().exact();
-                let exceeds_limit = body_length.is_some_and(|bytes| bytes > self.limits.max_bytes);
+                let limits = self.config.bounded_by(self.handler.limits()).body;
+                let exceeds_limit = body_length.is_some_and(|bytes| bytes > limits.max_bytes);
                 let rejection = rejection.or(exceeds_limit.then_some(ResultCode::BodyTooLarge));
                 match rejection {
                     None => {
-                        let body = Payload::receive(body, self.limits);
+                        let body = Payload::receive(body, limits);
                         respond(&*self.handler, &self.names, head, body_length, body).await
                     }
                     Some(code) => {
--- a/crates/caller/tests/server/common.rs
+++ b/crates/caller/tests/server/common.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use caller::{CallerConfig, CallerHandler, CallerRequest, PendingAnswer, Shutdown, serve};
 use hyper::http::{HeaderValue, Method, Response, StatusCode};
-use model::{RequestId, ResultCode};
+use model::{CallerLimits, RequestId, ResultCode};
 use payload::{BodyCut, BodyLimits, Payload};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -32,6 +32,7 @@
     pub dropped: AtomicUsize,
     pub finished: AtomicUsize,
     pub chunks_sent: AtomicUsize,
+    pub limits: Mutex<CallerLimits>,
 }
 
 pub struct Server {
@@ -52,6 +53,7 @@
         max_connections: 16,
         max_head_bytes: 8192,
         idle_timeout: Duration::from_millis(500),
+        head_timeout: None,
         body: BodyLimits { stall_timeout: Duration::from_millis(300), max_bytes: 1000 },
         names: model::HeaderNames::NATIVE,
     }
@@ -139,6 +141,10 @@
 }
 
 impl CallerHandler for SharedHandler {
+    fn limits(&self) -> CallerLimits {
+        *self.0.limits.lock().unwrap()
+    }
+
     fn handle(&self, req: CallerRequest) -> PendingAnswer {
         let handler = Arc::clone(&self.0);
         handler.served.fetch_add(1, Ordering::SeqCst);
--- a/crates/caller/tests/server/connections.rs
+++ b/crates/caller/tests/server/connections.rs
@@ -8,6 +8,7 @@
 };
 use caller::CallerConfig;
 use futures_util::FutureExt;
+use model::CallerLimits;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::time::timeout;
 
@@ -213,3 +214,48 @@
         assert!(end.is_ok(), "{request}: {end:?}");
     }
 }
+
+/// Guards against bounds of the configuration that are not in force: requests that they allow would be
+/// refused, and connections that they allow to be idle would be closed under a caller that uses them
+/// again.
+#[tokio::test]
+async fn bounds_of_the_handler_replace_those_of_the_server() {
+    let server = start(config()).await;
+    *server.handler.limits.lock().unwrap() = CallerLimits {
+        max_head_bytes: Some(20_000),
+        max_body_bytes: Some(2000),
+        head_timeout_ms: None,
+        idle_timeout_ms: Some(1500),
+    };
+    let long = "x".repeat(9000);
+    let request = format!("POST /echo?{long} HTTP/1.1\r\ncontent-length: 1500\r\n\r\n");
+    let mut kept = send(server.addr, request + &"b".repeat(1500)).await;
+    read_until(&mut kept, "body=1500").await;
+    tokio::time::sleep(Duration::from_millis(900)).await;
+    kept.write_all(b"GET / HTTP/1.1\r\n\r\n").await.unwrap();
+    read_until(&mut kept, "ok").await;
+    // A request that the connection carries later is bound by the newest limit on bodies.
+    server.handler.limits.lock().unwrap().max_body_bytes = Some(100);
+    kept.write_all(b"POST /echo HTTP/1.1\r\ncontent-length: 101\r\n\r\n").await.unwrap();
+    assert_eq!(summarize_responses(&read_to_end(&mut kept).await), "413 1016");
+}
+
+/// Guards against callers that hold connections by sending heads slowly, and against an end of the
+/// connection while the response to the request before such a head is being produced.
+#[tokio::test]
+async fn slow_heads_end_the_connection_after_the_response_in_progress() {
+    let server = start(CallerConfig { idle_timeout: Duration::from_secs(60), ..config() }).await;
+    server.handler.limits.lock().unwrap().head_timeout_ms = Some(100);
+    let started = Instant::now();
+    assert_eq!(read_to_end(&mut send(server.addr, "GET / HT").await).await, "");
+    assert!(started.elapsed() < Duration::from_secs(2), "closed too late");
+    let mut both = send(server.addr, "GET /slow HTTP/1.1\r\n\r\nGET / HT").await;
+    read_until(&mut both, "slow").await;
+    assert_eq!(read_to_end(&mut both).await, "");
+    // An idle connection has sent no part of a head.
+    let mut idle = send(server.addr, "GET / HTTP/1.1\r\n\r\n").await;
+    read_until(&mut idle, "ok").await;
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    idle.write_all(b"GET / HTTP/1.1\r\n\r\n").await.unwrap();
+    read_until(&mut idle, "ok").await;
+}
--- a/crates/config/src/configuration.rs
+++ b/crates/config/src/configuration.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 use std::sync::Arc;
 
-use model::{Revision, RouteName};
+use model::{CallerLimits, Revision, RouteName};
 
 use crate::entry::{AccountEntry, KeyEntry, RouteEntry};
 use crate::replica::Replica;
@@ -97,6 +97,12 @@
         self.imported.key(id).or_else(|| self.objects.key(id))
     }
 
+    /// Returns the bounds on what callers may send, or none if there are none.
+    pub fn caller_limits(&self) -> CallerLimits {
+        let limits = self.imported.caller_limits().or_else(|| self.objects.caller_limits());
+        limits.unwrap_or_default()
+    }
+
     /// Returns the client account with the given name.
     pub fn account(&self, name: &str) -> Option<&Arc<AccountEntry>> {
         self.imported.account(name).or_else(|| self.objects.account(name))
--- a/crates/config/src/entry.rs
+++ b/crates/config/src/entry.rs
@@ -6,9 +6,9 @@
 use std::time::Duration;
 
 use model::{
-    ANY_METHOD, Access, Account, EndpointMark, Key, KeyDigest, Kind, NodeName, NodeRecord, Object,
-    ObjectKey, Percent, Revision, Route, Selector, ServiceName, ServiceShare, StoredObject,
-    WriteId,
+    ANY_METHOD, Access, Account, CallerLimits, EndpointMark, Key, KeyDigest, Kind, NodeName,
+    NodeRecord, Object, ObjectKey, Percent, Revision, Route, Selector, ServiceName, ServiceShare,
+    StoredObject, WriteId,
 };
 
 /// The fields of a route except its host and prefix. Routes with equal fields share one value,
@@ -100,6 +100,8 @@
 pub type MarkEntry = Entry<EndpointMark>;
 /// The record of a node.
 pub type NodeEntry = Entry<NodeRecord>;
+/// Bounds on what callers may send.
+pub type CallerLimitsEntry = Entry<CallerLimits>;
 
 impl<T> Entry<T> {
     /// Creates an entry. `name` and `write_id` must have been validated as identifiers, which limits
@@ -248,6 +250,7 @@
     Key(Arc<KeyEntry>),
     Mark(Arc<MarkEntry>),
     Node(Arc<NodeEntry>),
+    CallerLimits(Arc<CallerLimitsEntry>),
     Tombstone { key: ObjectKey, revision: Revision, write_id: WriteId },
 }
 
@@ -270,6 +273,9 @@
                 stored_object(Kind::EndpointMark, e, Object::EndpointMark(e.value().clone()))
             }
             StoredEntry::Node(e) => stored_object(Kind::Node, e, Object::Node(e.value().clone())),
+            StoredEntry::CallerLimits(e) => {
+                stored_object(Kind::CallerLimits, e, Object::CallerLimits(*e.value()))
+            }
             StoredEntry::Tombstone { key, revision, write_id } => StoredObject {
                 key: key.clone(),
                 revision: *revision,
@@ -293,6 +299,7 @@
         const NODE_BYTES: usize = 160;
         const ENDPOINT_BYTES: usize = 160;
         const LABEL_BYTES: usize = 8;
+        const CALLER_LIMITS_BYTES: usize = 160;
         let labels = |labels: &model::Labels| {
             labels.iter().map(|(k, v)| k.len() + v.len() + LABEL_BYTES).sum::<usize>()
         };
@@ -317,6 +324,7 @@
                 let endpoints: usize = e.value.endpoints.iter().map(endpoint).sum();
                 e.text.len() + e.value.domain.as_str().len() + endpoints + NODE_BYTES
             }
+            StoredEntry::CallerLimits(e) => e.text.len() + CALLER_LIMITS_BYTES,
             StoredEntry::Tombstone { key, write_id, .. } => {
                 key.name.len() + write_id.as_str().len()
             }
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -11,6 +11,8 @@
 mod transfer;
 
 pub use configuration::{Configuration, Feed, Revisions};
-pub use entry::{AccountEntry, Entry, KeyEntry, MarkEntry, NodeEntry, RouteEntry, RoutePolicy};
+pub use entry::{
+    AccountEntry, CallerLimitsEntry, Entry, KeyEntry, MarkEntry, NodeEntry, RouteEntry, RoutePolicy,
+};
 pub use replica::{Applied, MAX_CHANGE_LOG_LEN, Replica};
 pub use transfer::{Chunk, Chunks, Delta, ReceiveOutcome, TransferReceiver};
--- a/crates/config/src/replica.rs
+++ b/crates/config/src/replica.rs
@@ -5,12 +5,13 @@
 use std::sync::Arc;
 
 use model::{
-    EndpointName, Kind, NodeName, Object, ObjectKey, Revision, Route, StoredObject, WriteId,
+    CallerLimits, EndpointName, Kind, NodeName, Object, ObjectKey, Revision, Route, StoredObject,
+    WriteId,
 };
 
 use crate::entry::{
-    AccountEntry, ByName, ByPrefix, Entry, EntryMeta, KeyEntry, MarkEntry, NodeEntry, RouteEntry,
-    RoutePolicy, StoredEntry, is_valid_name, trim_trailing_slashes,
+    AccountEntry, ByName, ByPrefix, CallerLimitsEntry, Entry, EntryMeta, KeyEntry, MarkEntry,
+    NodeEntry, RouteEntry, RoutePolicy, StoredEntry, is_valid_name, trim_trailing_slashes,
 };
 use crate::transfer::{Chunks, Delta};
 
@@ -77,6 +78,7 @@
     keys: HashSet<ByName<model::KeyDigest>>,
     marks: BTreeMap<EndpointName, Arc<MarkEntry>>,
     nodes: BTreeMap<NodeName, Arc<NodeEntry>>,
+    caller_limits: BTreeMap<Box<str>, Arc<CallerLimitsEntry>>,
 }
 
 impl Replica {
@@ -178,6 +180,7 @@
         objects.extend(self.keys.iter().map(|e| StoredEntry::Key(e.0.clone())));
         objects.extend(self.marks.values().cloned().map(StoredEntry::Mark));
         objects.extend(self.nodes.values().cloned().map(StoredEntry::Node));
+        objects.extend(self.caller_limits.values().cloned().map(StoredEntry::CallerLimits));
         objects.extend(self.tombstones.keys().filter_map(|key| self.stored_entry(key)));
         Chunks::new(None, self.compact_revision, self.revision, objects, max_bytes)
     }
@@ -185,7 +188,7 @@
     /// Returns the number of objects, not counting tombstones.
     pub fn len(&self) -> usize {
         let hashed = self.routes.len() + self.accounts.len() + self.keys.len();
-        hashed + self.marks.len() + self.nodes.len()
+        hashed + self.marks.len() + self.nodes.len() + self.caller_limits.len()
     }
 
     /// Returns whether the replica has no objects, not counting tombstones.
@@ -267,6 +270,12 @@
         self.nodes.iter()
     }
 
+    /// Returns the bounds on what callers may send. Of several objects, the one with the lowest
+    /// name is used.
+    pub fn caller_limits(&self) -> Option<CallerLimits> {
+        self.caller_limits.values().next().map(|entry| *entry.value())
+    }
+
     /// Returns the mark of an endpoint.
     pub fn mark(&self, name: &EndpointName) -> Option<&Arc<MarkEntry>> {
         self.marks.get(name)
@@ -341,6 +350,9 @@
                     self.nodes.insert(name, Entry::new(meta, "", node));
                 }
             }
+            Object::CallerLimits(limits) => {
+                self.caller_limits.insert(key.name.clone(), Entry::new(meta, "", limits));
+            }
         }
     }
 
@@ -396,6 +408,7 @@
             Kind::Key => self.keys.take(name).map(|e| e.0.revision()),
             Kind::EndpointMark => self.marks.remove(name).map(|e| e.revision()),
             Kind::Node => self.nodes.remove(name).map(|e| e.revision()),
+            Kind::CallerLimits => self.caller_limits.remove(name).map(|e| e.revision()),
         };
         if let Some(revision) = live.or(deleted) {
             self.change_log.remove(&(revision, key.clone()));
@@ -440,6 +453,9 @@
             Kind::Key => self.key(name).cloned().map(StoredEntry::Key),
             Kind::EndpointMark => self.marks.get(name).cloned().map(StoredEntry::Mark),
             Kind::Node => self.nodes.get(name).cloned().map(StoredEntry::Node),
+            Kind::CallerLimits => {
+                self.caller_limits.get(name).cloned().map(StoredEntry::CallerLimits)
+            }
         }
     }
 }
@@ -512,5 +528,5 @@
 
 /// A key that sorts after all valid keys, because names contain no characters above `~`.
 fn max_key() -> ObjectKey {
-    ObjectKey::new(Kind::Node, "\u{10ffff}")
+    ObjectKey::new(Kind::CallerLimits, "\u{10ffff}")
 }
--- a/crates/config/tests/replica.rs
+++ b/crates/config/tests/replica.rs
@@ -63,6 +63,7 @@
         object(Kind::EndpointMark, "e-1", 4, Some(mark)),
         object(Kind::Node, "node-1", 5, Some(node)),
         object(Kind::Route, "split", 6, Some(&split_route())),
+        object(Kind::CallerLimits, "main", 7, Some(r#"{"max_head_bytes":4096}"#)),
     ]
 }
 
@@ -83,10 +84,10 @@
 fn all_kinds_are_copied_and_indexed() {
     let objects = one_of_each();
     let mut first = Replica::new();
-    assert_eq!(first.apply_listing(Revision(6), objects.clone()), Applied::Applied);
+    assert_eq!(first.apply_listing(Revision(7), objects.clone()), Applied::Applied);
     let mut second = Replica::new();
     assert_eq!(send(first.full_copy(64), &mut second), ReceiveOutcome::Complete(Applied::Applied));
-    assert_eq!(second.revision(), Revision(6));
+    assert_eq!(second.revision(), Revision(7));
     for object in &objects {
         assert_eq!(second.object(&object.key).as_ref(), Some(object));
     }
@@ -98,6 +99,10 @@
     let split = second.route("shop.example", "/b/1").unwrap();
     assert_eq!((split.host(), split.prefix()), (Some("shop.example"), "/b/"));
     assert_eq!((split.policy().attempts, split.policy().priority), (2, 4));
+    assert_eq!(second.caller_limits().unwrap().max_head_bytes, Some(4096));
+    let removed = object(Kind::CallerLimits, "main", 8, None);
+    second.apply_delta(Revision(7), Revision(8), vec![removed]);
+    assert_eq!(second.caller_limits(), None);
     assert!(second.route("other.example", "/b/1").is_none());
 }
 
--- a/crates/fuzz/src/connections.rs
+++ b/crates/fuzz/src/connections.rs
@@ -118,6 +118,7 @@
             max_connections: 64,
             max_head_bytes: 8192,
             idle_timeout: STEP_TIMEOUT,
+            head_timeout: None,
             body: limits(),
             names: HeaderNames::NATIVE,
         };
--- a/crates/fuzz/src/decoders.rs
+++ b/crates/fuzz/src/decoders.rs
@@ -61,6 +61,7 @@
             r#"{"domain":"a","peer_addr":"10.0.0.1:1","operator_addr":"10.0.0.1:2","incarnation":1,
                 "endpoints":[{"name":"e1","service":"s","addr":"10.0.0.1:80","slots":3,"state":"ready"}]}"#,
             r#"{"labels":{"tier":"gold"},"drain":"none"}"#,
+            r#"{"max_head_bytes":65536,"head_timeout_ms":3000,"idle_timeout_ms":90000}"#,
         ];
         documents.iter().map(|document| document.as_bytes().to_vec()).collect()
     }
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -28,8 +28,9 @@
 pub use latency::LatencyEstimate;
 pub use load::LoadReport;
 pub use object::{
-    ANY_METHOD, Access, Account, DepartedEndpoint, DocumentError, Endpoint, EndpointMark,
-    EndpointState, Key, Kind, NodeRecord, Object, ObjectKey, Route, ServiceShare, StoredObject,
+    ANY_METHOD, Access, Account, CallerLimits, DepartedEndpoint, DocumentError, Endpoint,
+    EndpointMark, EndpointState, Key, Kind, NodeRecord, Object, ObjectKey, Route, ServiceShare,
+    StoredObject,
 };
 pub use result_code::{Outcome, ResultCode};
 pub use time::Time;
--- a/crates/model/src/object.rs
+++ b/crates/model/src/object.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::str::FromStr;
 use std::time::Duration;
 
@@ -31,12 +32,14 @@
     EndpointMark,
     /// A node of the fleet.
     Node,
+    /// Bounds on what callers may send.
+    CallerLimits,
 }
 
 impl Kind {
     /// Every kind.
-    pub const ALL: [Kind; 5] =
-        [Kind::Route, Kind::Account, Kind::Key, Kind::EndpointMark, Kind::Node];
+    pub const ALL: [Kind; 6] =
+        [Kind::Route, Kind::Account, Kind::Key, Kind::EndpointMark, Kind::Node, Kind::CallerLimits];
 
     /// Name of the kind in API paths and documents.
     pub const fn as_str(self) -> &'static str {
@@ -46,6 +49,7 @@
             Kind::Key => "key",
             Kind::EndpointMark => "endpoint-mark",
             Kind::Node => "node",
+            Kind::CallerLimits => "caller-limits",
         }
     }
 }
@@ -229,6 +233,61 @@
     pub digest: KeyDigest,
 }
 
+/// Bounds on what callers may send and on how long they may take. They replace those of the settings;
+/// an absent one leaves that of the settings in force.
+///
+/// ```
+/// use model::{Kind, Object};
+///
+/// let limits = br#"{"max_head_bytes":65536,"idle_timeout_ms":90000}"#;
+/// assert!(Object::from_document(Kind::CallerLimits, limits).is_ok());
+/// assert!(Object::from_document(Kind::CallerLimits, br#"{"max_head_bytes":12}"#).is_err());
+/// ```
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CallerLimits {
+    /// Maximum size of a request head, in bytes.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub max_head_bytes: Option<u32>,
+    /// Maximum size of a request body, in bytes.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub max_body_bytes: Option<u64>,
+    /// Time from the first byte of a head to its last, in milliseconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub head_timeout_ms: Option<u64>,
+    /// Time for which a connection may be idle between two requests, in milliseconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub idle_timeout_ms: Option<u64>,
+}
+
+impl CallerLimits {
+    /// Smallest and largest `max_head_bytes`. A head is buffered in memory as a whole.
+    pub const HEAD_BYTES: RangeInclusive<u32> = 1024..=1 << 20;
+    /// Smallest and largest timeout, in milliseconds.
+    pub const TIMEOUT_MS: RangeInclusive<u64> = 100..=86_400_000;
+
+    fn validate(&self) -> Result<(), DocumentError> {
+        if self.max_head_bytes.is_some_and(|bytes| !Self::HEAD_BYTES.contains(&bytes)) {
+            return Err(DocumentError("max_head_bytes must be from 1024 to 1048576".into()));
+        }
+        let mut timeouts = [self.head_timeout_ms, self.idle_timeout_ms].into_iter().flatten();
+        if timeouts.any(|timeout| !Self::TIMEOUT_MS.contains(&timeout)) {
+            return Err(DocumentError("a timeout must be from 100 to 86400000 ms".into()));
+        }
+        Ok(())
+    }
+
+    /// Returns the timeout for the rest of a head.
+    pub fn head_timeout(&self) -> Option<Duration> {
+        self.head_timeout_ms.map(Duration::from_millis)
+    }
+
+    /// Returns the time for which a connection may be idle.
+    pub fn idle_timeout(&self) -> Option<Duration> {
+        self.idle_timeout_ms.map(Duration::from_millis)
+    }
+}
+
 /// Labels and drain state that an operator has set on an endpoint. The object is named after the
 /// endpoint.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
@@ -293,6 +352,8 @@
     EndpointMark(EndpointMark),
     /// A node.
     Node(NodeRecord),
+    /// Bounds on what callers may send.
+    CallerLimits(CallerLimits),
 }
 
 impl Object {
@@ -304,6 +365,7 @@
             Object::Key(_) => Kind::Key,
             Object::EndpointMark(_) => Kind::EndpointMark,
             Object::Node(_) => Kind::Node,
+            Object::CallerLimits(_) => Kind::CallerLimits,
         }
     }
 
@@ -323,10 +385,12 @@
             Kind::Key => parse_json(document).map(Object::Key),
             Kind::EndpointMark => parse_json(document).map(Object::EndpointMark),
             Kind::Node => parse_json(document).map(Object::Node),
+            Kind::CallerLimits => parse_json(document).map(Object::CallerLimits),
         }?;
         match &object {
             Object::Route(route) => route.validate()?,
             Object::Account(account) => account.validate()?,
+            Object::CallerLimits(limits) => limits.validate()?,
             _ => {}
         }
         Ok(object)
@@ -340,6 +404,7 @@
             Object::Key(key) => serde_json::to_vec(key),
             Object::EndpointMark(mark) => serde_json::to_vec(mark),
             Object::Node(node) => serde_json::to_vec(node),
+            Object::CallerLimits(limits) => serde_json::to_vec(limits),
         };
         document.expect("objects hold only types that JSON can represent")
     }
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -8,8 +8,8 @@
 use config::RouteEntry;
 use hyper::http::{HeaderName, HeaderValue, Method, Response, StatusCode};
 use model::{
-    Access, Account, AccountName, KeyId, Outcome, Percent, RequestId, ResultCode, RouteName,
-    ServiceName, Time,
+    Access, Account, AccountName, CallerLimits, KeyId, Outcome, Percent, RequestId, ResultCode,
+    RouteName, ServiceName, Time,
 };
 use payload::{BodyCut, Payload, ReadAhead};
 use peer::CallAnswer;
@@ -65,6 +65,10 @@
             .is_some_and(|route| route.policy().is_idempotent(method.as_str()))
     }
 
+    fn limits(&self) -> CallerLimits {
+        read(&self.node.config).caller_limits()
+    }
+
     fn refused(&self, id: &RequestId, code: ResultCode) {
         RequestTrace::new(&self.node, id.clone(), "", "", "").finish(RequestEnd::Coded(code));
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -160,6 +160,7 @@
         max_connections: settings.caller.max_connections as usize,
         max_head_bytes: settings.caller.max_head.0 as usize,
         idle_timeout: settings.caller.idle_timeout,
+        head_timeout: None,
         body: BodyLimits {
             stall_timeout: settings.caller.idle_timeout,
             max_bytes: settings.caller.max_body.0,
--- a/crates/zinniacross/tests/users_platform.rs
+++ b/crates/zinniacross/tests/users_platform.rs
@@ -246,6 +246,17 @@
         }
     }
 
+    /// Writes the configuration with one more field.
+    fn put_config(&self, field: &str) {
+        let url = format!("{}/api/objects/config/main", self.platform.url());
+        let stored = ureq::get(&url).call().unwrap().body_mut().read_to_string().unwrap();
+        let stored: serde_json::Value = serde_json::from_str(&stored).unwrap();
+        let rev = &stored["meta"]["rev"];
+        let spec = CONFIG.replacen('{', &format!("{{{field},"), 1);
+        let body = format!(r#"{{"meta":{{"name":"main","rev":{rev}}},"spec":{spec}}}"#);
+        ureq::put(&url).header("content-type", "application/json").send(body).unwrap();
+    }
+
     /// Creates an object in the store, as another writer does.
     fn create_object(&self, kind: &str, name: &str, spec: &str) {
         let body = format!(r#"{{"meta":{{"name":"{name}"}},"spec":{spec}}}"#);
@@ -410,6 +421,27 @@
     }
 }
 
+/// Guards against bounds of the configuration on what callers may send that the node does not follow:
+/// requests that they allow would be refused, and requests that they forbid would reach endpoints.
+#[test]
+fn limits_of_the_configuration_are_followed() {
+    let site = Site::start();
+    let code_of = |bytes: usize| {
+        let long = format!("x-long: {}\r\n", "a".repeat(bytes));
+        status(&site.call("GET", "/open/1", &long).0)
+    };
+    assert_eq!(code_of(8_000), 200);
+    assert_eq!(code_of(40_000), 431);
+    site.put_config(r#""limits":{"maxHeaderBytes":65536}"#);
+    site.wait_until("a larger head is allowed", || code_of(40_000) == 200);
+    assert!(site.endpoint.heads().iter().any(|head| head.len() > 40_000), "it was cut");
+    site.put_config(r#""limits":{"maxHeaderBytes":4096}"#);
+    site.wait_until("a smaller bound is in force", || code_of(8_000) == 431);
+    // Without limits those of the settings are in force again.
+    site.put_config(r#""later":{}"#);
+    site.wait_until("the bound is gone", || code_of(8_000) == 200);
+}
+
 /// Guards against an entry of another writer that ends the node, or that keeps it from following the
 /// other entries: a change after the odd ones has to take effect.
 #[test]
--- a/xtask/src/http_libraries.rs
+++ b/xtask/src/http_libraries.rs
@@ -139,6 +139,7 @@
             max_connections: 4096,
             max_head_bytes: 16 * 1024,
             idle_timeout: IDLE_TIMEOUT,
+            head_timeout: None,
             body: BodyLimits { stall_timeout: IDLE_TIMEOUT, max_bytes: 1 << 20 },
             names: model::HeaderNames::NATIVE,
         };
