Revert "Refuse the calls queued at an endpoint that becomes suspect"

Calls that left the queue were lost at the next endpoint that hung.

A call that waits and is refused after 2 s is known not to have run; one that is lost elsewhere ends after 4 s with an unknown outcome.

Conclusion: the cause of these losses is the time until an endpoint that hangs is detected, not its queue.

--- a/crates/admission/src/guard.rs
+++ b/crates/admission/src/guard.rs
@@ -164,20 +164,6 @@
         self.start_queued(endpoint, now, checks)
     }
 
-    /// Refuses the queued attempts of an endpoint that has become suspect, so that their entry nodes send
-    /// them elsewhere while there is time. Those that accept a suspect endpoint keep waiting.
-    pub fn refuse_queued_at_suspect(
-        &mut self,
-        endpoint: &EndpointName,
-        now: Time,
-    ) -> Vec<AttemptDecision> {
-        self.advance_clock(now);
-        let Some(queue) = self.endpoints.get_mut(endpoint) else { return Vec::new() };
-        let refused = queue.remove_queued_if(|attempt| !attempt.accepts_suspect);
-        let code = ResultCode::EndpointSuspect;
-        refused.into_iter().map(|attempt| self.refuse_queued(attempt.id, code)).collect()
-    }
-
     /// Decides about a new attempt. The first decision is about this attempt; a second one is about an
     /// attempt that it displaced from the queue.
     pub fn submit(
--- a/crates/admission/tests/guard.rs
+++ b/crates/admission/tests/guard.rs
@@ -82,7 +82,6 @@
     Announce(u64, EndpointState),
     Gone(u64),
     Drain(u64, bool),
-    Suspect(u64),
     WithdrawKey,
     Advance(u64),
 }
@@ -101,7 +100,6 @@
         2 => (0..2u64, state).prop_map(|(endpoint, state)| Op::Announce(endpoint, state)),
         1 => (0..2u64).prop_map(Op::Gone),
         1 => (0..2u64, any::<bool>()).prop_map(|(endpoint, drained)| Op::Drain(endpoint, drained)),
-        1 => (0..2u64).prop_map(Op::Suspect),
         1 => Just(Op::WithdrawKey),
         4 => prop_oneof![1..100u64, 4000..6000u64].prop_map(Op::Advance),
     ]
@@ -190,7 +188,6 @@
                 let drain = if drained { DrainState::Drained } else { DrainState::InUse };
                 self.guard.set_drain(&endpoint(number), drain, now, checks)
             }
-            Op::Suspect(number) => self.guard.refuse_queued_at_suspect(&endpoint(number), now),
             Op::WithdrawKey => {
                 self.is_key_withdrawn = true;
                 Vec::new()
@@ -383,26 +380,6 @@
     assert_eq!(guard.stop_state(), StopState::Empty);
 }
 
-/// Guards against calls that wait behind those which hang at an endpoint that has become suspect, until
-/// their time to wait is over, while other endpoints have free slots.
-#[test]
-fn calls_queued_at_an_endpoint_that_becomes_suspect_are_refused() {
-    let mut guard = ready_guard(1);
-    guard.submit(attempt(0, "a", 60_000), ms(0), &allow);
-    guard.submit(attempt(1, "a", 60_000), ms(0), &allow);
-    guard.submit(Attempt { accepts_suspect: true, ..attempt(2, "b", 60_000) }, ms(0), &allow);
-    let elsewhere = |sequence| Attempt { endpoint: endpoint(1), ..attempt(sequence, "a", 60_000) };
-    guard.submit(elsewhere(3), ms(0), &allow);
-    guard.submit(elsewhere(4), ms(0), &allow);
-    let refused = Decision::Refuse(ResultCode::EndpointSuspect);
-    let expected = [AttemptDecision { attempt: id(1), decision: refused }];
-    assert_eq!(guard.refuse_queued_at_suspect(&endpoint(0), ms(10)), expected);
-    // A late duplicate of the refused attempt must not start.
-    assert_eq!(guard.submit(attempt(1, "a", 60_000), ms(11), &allow), expected);
-    assert_eq!(started(&guard.finish(id(0), ms(20), &allow)), [2]);
-    assert_eq!(started(&guard.finish(id(3), ms(20), &allow)), [4]);
-}
-
 /// The ledger must not grow without bound, and the guard must not state that an attempt did not run
 /// unless that can be recorded.
 #[test]
--- a/crates/node/src/guard.rs
+++ b/crates/node/src/guard.rs
@@ -163,17 +163,13 @@
         let mut endpoints = lock(&self.health);
         let health = endpoints.entry(endpoint.clone()).or_default();
         let Some(suspect_since) = health.record(started, now, &call.route, result) else { return };
-        let is_suspect = health.suspect_since().is_some();
-        // The checks of the core lock the health of the endpoints.
-        drop(endpoints);
-        match is_suspect {
-            true => {
+        match health.suspect_since() {
+            Some(_) => {
                 node.metrics.suspicions.inc();
                 let id = &call.request;
                 info!("endpoint {endpoint} is suspect after request {id} ended with {result:?}");
-                self.apply(node, |core, now, _| core.refuse_queued_at_suspect(endpoint, now));
             }
-            false => {
+            None => {
                 let suspect_for = now.since(suspect_since);
                 info!(
                     "endpoint {endpoint} is trusted again after being suspect for {suspect_for:?}"
