Let requests wait for the configuration in the first second of a node

Cause: a node refuses requests until it has its configuration (1012), and has no endpoints until it has the list of nodes (1008).

Ruled out: failures of the store, which answered all nodes; endpoints that were gone, which were 4 of the refusals (1019).

Change: a request that arrives before both are there waits for them, until 1 s after the start of the process and at most half of the time that its caller waits. After that a node has no configuration because the store is away, and refuses at once as before. The decision is routing::startup_step.

--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -13,7 +13,7 @@
 };
 use payload::{BodyCut, Payload, ReadAhead};
 use peer::CallAnswer;
-use routing::{Balancer, BalancerParams, Idempotence, RandomSource};
+use routing::{Balancer, BalancerParams, Idempotence, RandomSource, StartupStep, startup_step};
 use tokio::time::timeout_at;
 use wire::{Head, Header};
 
@@ -149,6 +149,7 @@
     mut req: CallerRequest,
     trace: &mut RequestTrace,
 ) -> Result<CallAnswer, Refusal> {
+    wait_for_startup(node, trace.started, req.waits).await;
     if !node.is_synced() {
         return Err(ResultCode::NotSynced.into());
     }
@@ -230,6 +231,16 @@
     result.map_err(|code| superseded_code(node, &route, &req.key, code).into())
 }
 
+/// Lets a request wait while the node starts and is likely to have its configuration soon.
+async fn wait_for_startup(node: &Node, arrived: Time, caller_waits: Option<Duration>) {
+    match startup_step(node.is_loaded(), arrived, caller_waits, node.now()) {
+        StartupStep::Handle => {}
+        StartupStep::WaitUntil(latest) => {
+            node.platform.wait_until_loaded(node.clock.to_instant(latest)).await;
+        }
+    }
+}
+
 /// If the request was not run and the current configuration no longer allows it, returns that reason;
 /// otherwise returns `code`.
 fn superseded_code(
--- a/crates/node/src/platform_link.rs
+++ b/crates/node/src/platform_link.rs
@@ -7,7 +7,7 @@
 use rand::RngExt;
 use store::StoreError;
 use tokio::sync::watch;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 /// Longest first delay before a failed call to the platform is retried.
 const FIRST_RETRY_DELAY: Duration = Duration::from_millis(400);
@@ -20,16 +20,20 @@
 /// covers a platform that refuses some calls and serves others.
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(6);
 
-/// What this node knows of the platform from its own calls.
+/// What this node knows of the platform from its own calls, and whether it has what the platform holds.
 #[derive(Clone)]
 pub(crate) struct PlatformLink {
     reachable: Arc<watch::Sender<bool>>,
+    loaded: Arc<watch::Sender<bool>>,
 }
 
 impl PlatformLink {
     /// Creates a link that has not been used.
     pub(crate) fn new() -> PlatformLink {
-        PlatformLink { reachable: Arc::new(watch::Sender::new(false)) }
+        PlatformLink {
+            reachable: Arc::new(watch::Sender::new(false)),
+            loaded: Arc::new(watch::Sender::new(false)),
+        }
     }
 
     /// Whether the platform answered the last call.
@@ -51,6 +55,18 @@
         }
     }
 
+    /// Records that the configuration and the stored objects have been received, from the platform or
+    /// from a peer.
+    pub(crate) fn record_loaded(&self) {
+        self.loaded.send_replace(true);
+    }
+
+    /// Waits until the configuration and the stored objects have been received, or until `latest`.
+    pub(crate) async fn wait_until_loaded(&self, latest: Instant) {
+        let mut loaded = self.loaded.subscribe();
+        let _ = timeout_at(latest, loaded.wait_for(|loaded| *loaded)).await;
+    }
+
     /// Waits for the next delay of `retries`, or, if the platform is unreachable, until another task has
     /// reached it.
     pub(crate) async fn wait_for_recovery(&self, retries: &mut Retries) {
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -171,6 +171,12 @@
         store.skipped_entries() + of_config
     }
 
+    /// Returns whether the node has received a configuration and the stored objects, which contain the
+    /// other nodes.
+    pub(crate) fn is_loaded(&self) -> bool {
+        self.is_synced() && read(&self.config).objects.revision() > model::Revision::ZERO
+    }
+
     /// Returns whether the node has received a configuration. Without one it can't decide which
     /// requests are allowed.
     pub(crate) fn is_synced(&self) -> bool {
--- a/crates/node/src/sync.rs
+++ b/crates/node/src/sync.rs
@@ -232,6 +232,13 @@
             return warn!("change of the {feed:?} feed from {source} was not applied: {applied:?}");
         }
     }
+    refresh_dependents(node, feed, source);
+    if node.is_loaded() {
+        node.platform.record_loaded();
+    }
+}
+
+fn refresh_dependents(node: &Arc<Node>, feed: Feed, source: &str) {
     let config = read(&node.config);
     let revisions = config.revisions();
     info!("{feed:?} feed updated to revision {} from {source}", config.replica(feed).revision());
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -10,6 +10,7 @@
 mod load_view;
 mod random;
 mod retry;
+mod startup;
 mod unsent_retry_limiter;
 
 pub use balancer::{
@@ -22,4 +23,5 @@
     AttemptEnd, BodyState, BusyPolicy, CallAttempts, Evidence, FenceResult, Idempotence,
     MAX_EXPECTED_WAIT, NextAction, RetryParams, SuspectPolicy, refusal_evidence,
 };
+pub use startup::{StartupStep, startup_step};
 pub use unsent_retry_limiter::{Grant, UnsentRetryLimiter};
--- a/crates/zinniacross/tests/users_platform.rs
+++ b/crates/zinniacross/tests/users_platform.rs
@@ -6,9 +6,9 @@
 use std::path::Path;
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use standins::platform::{PlatformConfig, PlatformStandin};
+use standins::platform::{Faults, PlatformConfig, PlatformStandin};
 use standins::process::{NodeOptions, NodeProcess, Signal, TempDir, free_addrs, wait_until};
 
 const LOCAL: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
@@ -236,13 +236,22 @@
         assert_eq!(agent.run(req).unwrap().status(), 200);
     }
 
-    /// Kills the node and starts it again, and waits until it is ready.
-    fn restart(&mut self) {
+    fn stop_node(&mut self) {
         self.node.process.signal(Signal::Kill).unwrap();
         self.node.process.wait(SOON).expect("a killed process ends");
+    }
+
+    /// Starts the node and waits until it listens.
+    fn start_node(&mut self) {
         let binary = Path::new(env!("CARGO_BIN_EXE_zinniacross"));
         self.node = NodeProcess::start(binary, self.dir.path(), &self.options).unwrap();
         assert!(wait_until(SOON, || TcpStream::connect(self.ready).is_ok()));
+    }
+
+    /// Kills the node and starts it again, and waits until it is ready.
+    fn restart(&mut self) {
+        self.stop_node();
+        self.start_node();
         assert!(wait_until(SOON, || {
             status(&send(self.ready, "GET", "/api/readyz", "").0) == 200
         }));
@@ -432,6 +441,30 @@
     }
 }
 
+/// Guards against requests that a starting node refuses although it has its configuration some tenths of
+/// a second later, and against requests that wait while the store is away.
+#[test]
+fn requests_wait_for_the_start_of_the_node_but_not_for_the_store() {
+    let mut site = Site::start();
+    site.stop_node();
+    site.platform.set_faults(Faults { slow_ms: 250, ..Faults::default() });
+    let started = Instant::now();
+    site.start_node();
+    site.heartbeat("ready", 2);
+    let code = status(&site.call("GET", "/open/1", "").0);
+    // On a busy machine the store may answer after the time for which requests wait.
+    assert!(code == 200 || started.elapsed() > Duration::from_secs(1), "{code}");
+    site.stop_node();
+    site.platform.set_faults(Faults { down: true, ..Faults::default() });
+    let started = Instant::now();
+    site.start_node();
+    assert_eq!(status(&site.call("GET", "/open/1", "").0), 503);
+    assert!(started.elapsed() < Duration::from_secs(3), "{:?}", started.elapsed());
+    let later = Instant::now();
+    assert_eq!(status(&site.call("GET", "/open/1", "").0), 503);
+    assert!(later.elapsed() < Duration::from_millis(800), "{:?}", later.elapsed());
+}
+
 /// Guards against endpoints that become suspect because requests left them too little time: their other
 /// requests would be refused or go to fewer endpoints.
 #[test]
