Break off a response whose link stays silent

Cause: while the entry waits for the rest of a response it only read the link. If the host of the guard is lost without closing its connections, or a link loses bytes for good, nothing ever arrives: the caller waits until its own timeout, and the entry can't stop.

Ruled out: the guard of that node, all of whose calls had ended; the bound on late bodies, which holds at the guard and not at the entry; slow callers, for which the entry does not wait on the link.

Change: the entry sends a ping each second while it waits, which the guard answers beside the body, and ends the response visibly after 10 s without any data or pong. A guard that is paused for less goes on.

Conclusion: a response ends at most 10 s after its link died.

--- a/crates/peer/src/call_link.rs
+++ b/crates/peer/src/call_link.rs
@@ -33,6 +33,14 @@
 /// short enough to leave time for another endpoint.
 const IDLE_CHECK_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// Time between two pings while more of an answer is awaited.
+const BODY_PING_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time without received data, not even a pong, after which the rest of an answer is given up. A process
+/// that is paused for some seconds goes on with it; a host that is lost without closing its connections
+/// would otherwise hold the caller, and a node that stops, for good.
+const BODY_SILENCE_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// An attempt that was sent to another process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct SentAttempt {
@@ -413,6 +421,27 @@
     }
 }
 
+/// Receives the next frame of an answer. Fails if the link is silent for [`BODY_SILENCE_TIMEOUT`].
+async fn recv_body_frame(link: &mut Link) -> Result<Frame, LinkError> {
+    let mut silent_until = Instant::now() + BODY_SILENCE_TIMEOUT;
+    let mut ping_at = Instant::now() + BODY_PING_INTERVAL;
+    loop {
+        tokio::select! {
+            received = link.recv_frame_or_pong() => match received? {
+                Received::Frame(frame) => return Ok(*frame),
+                Received::Pong => silent_until = Instant::now() + BODY_SILENCE_TIMEOUT,
+            },
+            () = sleep_until(ping_at.min(silent_until)) => {
+                if Instant::now() >= silent_until {
+                    return Err(LinkError::TimedOut);
+                }
+                ping_at = Instant::now() + BODY_PING_INTERVAL;
+                link.ping().await?;
+            }
+        }
+    }
+}
+
 /// How the body of an answer ended.
 enum BodyEnd {
     Complete,
@@ -423,7 +452,7 @@
 async fn receive_body(link: &mut Link, attempt: AttemptId, tx: &PayloadSender) -> BodyEnd {
     loop {
         let frame = tokio::select! {
-            frame = link.recv() => frame,
+            frame = recv_body_frame(link) => frame,
             () = tx.closed() => return BodyEnd::ReceiverDropped,
         };
         let chunk = match frame {
--- a/crates/zinniacross/tests/downloads.rs
+++ b/crates/zinniacross/tests/downloads.rs
@@ -100,3 +100,27 @@
     let complete = received > DOWNLOAD_BYTES;
     assert!(complete, "only {received} bytes arrived");
 }
+
+/// Guards against a response whose rest never comes and never breaks off: the host of the endpoint is
+/// lost without closing its connections. The caller would wait for good, and the stop of its entry too.
+#[test]
+fn a_response_breaks_off_when_its_link_stays_silent() {
+    let mut fleet = Fleet::start(2);
+    let behaviour = Behaviour { service_ms: 1, part_ms: 250, ..Behaviour::default() };
+    fleet.upstream(1, "files", 4, behaviour);
+    fleet.route("files", "open", 60_000);
+    fleet.wait_served("/files/ready", None);
+    let addr = fleet.nodes[0].caller;
+    let download = std::thread::spawn(move || {
+        let result = common::Caller::new(addr).get("/files/chunked/320000", None);
+        (result, Instant::now())
+    });
+    std::thread::sleep(seconds(2));
+    fleet.cut_link(0, 1, standins::cut::Direction::ToDialer);
+    let cut_at = Instant::now();
+    let (result, ended) = download.join().unwrap();
+    let after = ended.saturating_duration_since(cut_at);
+    println!("ended {after:?} after the cut");
+    assert!(matches!(result, Err(common::caller::Lost::Cut { status: 200, .. })), "{result:?}");
+    assert!(after > seconds(8) && after < seconds(20), "ended {after:?} after the cut");
+}
