--- a/crates/standins/src/process.rs
+++ b/crates/standins/src/process.rs
@@ -162,6 +162,17 @@
         Ok(NodeProcess { process, caller, peer, announce, operator, log })
     }
 
+    /// Starts the node again after its process has ended, with the same settings and at the same
+    /// addresses. The log so far is kept beside the new one.
+    pub fn start_again(&mut self, binary: &Path) -> io::Result<()> {
+        let ended = format!("{}.log", self.process.id());
+        fs::rename(&self.log, self.log.with_extension(ended))?;
+        let file = self.log.with_extension("ini");
+        let file = file.to_str().ok_or_else(|| io::Error::other("the path is not UTF-8"))?;
+        self.process = Process::start(binary, &["node", file], &self.log)?;
+        Ok(())
+    }
+
     /// Tells whether the node says that it is ready.
     pub fn is_ready(&self) -> bool {
         ureq::get(&format!("http://{}/ready", self.operator)).call().is_ok()
--- a/crates/standins/src/upstream.rs
+++ b/crates/standins/src/upstream.rs
@@ -5,7 +5,7 @@
 //!
 //! Paths: `/control` (POST a [`Behaviour`]), `/counts`, `/health`, `/bytes/N` (N bytes of known
 //! length), `/chunked/N` (N bytes of unknown length), `/cut/N` (announces N bytes and closes after
-//! half of them), `/echo` (the body of the request); every other path answers `ok`.
+//! half of them), `/echo` (the body of the request), `/name/TEXT` (the text); every other path answers `ok`.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -140,6 +140,11 @@
         *lock(&self.state.behaviour) = behaviour;
     }
 
+    /// Whether it says that it leaves.
+    pub fn is_leaving(&self) -> bool {
+        lock(&self.state.behaviour).state == EndpointState::Leaving
+    }
+
     /// Calls that ran so far.
     pub fn runs(&self) -> u64 {
         lock(&self.state.counts).runs
@@ -258,6 +263,9 @@
     if path == "/echo" {
         return plain(200, body);
     }
+    if let Some((_, name)) = path.rsplit_once("/name/") {
+        return plain(200, name.to_owned());
+    }
     if let Some(size) = size("/bytes/") {
         return plain(200, vec![b'x'; size]);
     }
--- a/crates/zinniacross/tests/common/mod.rs
+++ b/crates/zinniacross/tests/common/mod.rs
@@ -167,6 +167,23 @@
         self.nodes[index] = self.start_process(index);
     }
 
+    /// Starts a node that has ended again, at the same addresses.
+    pub fn start_again(&mut self, index: usize) {
+        let binary = Path::new(env!("CARGO_BIN_EXE_zinniacross"));
+        self.nodes[index].start_again(binary).unwrap();
+    }
+
+    /// Name and text of each log, those of ended processes included.
+    pub fn all_logs(&self) -> Vec<(String, String)> {
+        let files = std::fs::read_dir(self.dir.path()).unwrap().map(|file| file.unwrap().path());
+        let logs = files.filter(|path| path.extension().is_some_and(|ext| ext == "log"));
+        logs.map(|path| {
+            let name = path.file_name().unwrap().to_string_lossy().into_owned();
+            (name, std::fs::read_to_string(path).unwrap())
+        })
+        .collect()
+    }
+
     pub fn kill(&mut self, index: usize) {
         self.signal(index, Signal::Kill);
         self.nodes[index].process.wait(seconds(5)).expect("a killed process ends");
