--- a/crates/zinniacross/tests/downloads.rs
+++ b/crates/zinniacross/tests/downloads.rs
@@ -38,7 +38,7 @@
         .map(|number| {
             let started = Instant::now();
             let answer = caller.get(&format!("/files/small-{number}"), None).unwrap();
-            assert_eq!(answer.status, 200);
+            assert_eq!(answer.status, 200, "{}", String::from_utf8_lossy(&answer.body));
             started.elapsed()
         })
         .collect();
