Count pings instead of time before a silent response is given up

Ruled out: a preference for the link over the timer, which would not help where the upstream is slow and the guard had nothing to answer during the pause.

Change: the response is given up after ten pings, one a second, without data or pong. A pause of the entry adds one.

--- a/crates/peer/src/call_link.rs
+++ b/crates/peer/src/call_link.rs
@@ -36,10 +36,11 @@
 /// Time between two pings while more of an answer is awaited.
 const BODY_PING_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Time without received data, not even a pong, after which the rest of an answer is given up. A process
+/// Number of these pings without any data or pong after which the rest of an answer is given up. A process
 /// that is paused for some seconds goes on with it; a host that is lost without closing its connections
-/// would otherwise hold the caller, and a node that stops, for good.
-const BODY_SILENCE_TIMEOUT: Duration = Duration::from_secs(10);
+/// would otherwise hold the caller, and a node that stops, for good. Pings are counted instead of time,
+/// since a pause of this process is no silence of the other one.
+const MAX_UNANSWERED_PINGS: u32 = 10;
 
 /// An attempt that was sent to another process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -421,20 +422,22 @@
     }
 }
 
-/// Receives the next frame of an answer. Fails if the link is silent for [`BODY_SILENCE_TIMEOUT`].
+/// Receives the next frame of an answer. Fails if [`MAX_UNANSWERED_PINGS`] bring no sign of the other
+/// process.
 async fn recv_body_frame(link: &mut Link) -> Result<Frame, LinkError> {
-    let mut silent_until = Instant::now() + BODY_SILENCE_TIMEOUT;
+    let mut unanswered = 0;
     let mut ping_at = Instant::now() + BODY_PING_INTERVAL;
     loop {
         tokio::select! {
             received = link.recv_frame_or_pong() => match received? {
                 Received::Frame(frame) => return Ok(*frame),
-                Received::Pong => silent_until = Instant::now() + BODY_SILENCE_TIMEOUT,
+                Received::Pong => unanswered = 0,
             },
-            () = sleep_until(ping_at.min(silent_until)) => {
-                if Instant::now() >= silent_until {
+            () = sleep_until(ping_at) => {
+                if unanswered == MAX_UNANSWERED_PINGS {
                     return Err(LinkError::TimedOut);
                 }
+                unanswered += 1;
                 ping_at = Instant::now() + BODY_PING_INTERVAL;
                 link.ping().await?;
             }
