--- a/crates/zinniacross/tests/soak/main.rs
+++ b/crates/zinniacross/tests/soak/main.rs
@@ -85,7 +85,17 @@
 /// Guards against the return of a fault that a plan has found.
 #[test]
 fn plans_that_have_failed_break_no_promise() {
-    let dir = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("tests/soak/plans");
+    check_all("tests/soak/plans");
+}
+
+/// Plays the plans of faults that are not mended. `KNOWN-RED.txt` lists this test.
+#[test]
+fn plans_that_are_open_break_no_promise() {
+    check_all("tests/soak/plans/open");
+}
+
+fn check_all(dir: &str) {
+    let dir = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join(dir);
     let Ok(files) = fs::read_dir(dir) else { return };
     let mut paths: Vec<PathBuf> = files.map(|file| file.unwrap().path()).collect();
     paths.retain(|path| path.extension().is_some_and(|extension| extension == "json"));
