Identify a response before it counts as a refusal

Cause: classify_answer believed status 421 and the refusal header before it compared the request id, so a late second copy of the refusal of an earlier request on the connection refused the next one.

Ruled out: a check that only compares ids which are present. The platform's examples show refusals without an id, and a late copy of such a refusal would still be believed. They now count only as the first response on a connection.

The text of one log line that a test looks for is now "the request id differs".

Why this works: the upstream client compares the id of each response with that of the request that it sent on the connection, before any header of the response is used, and drops the connection of a response to another request.

--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -111,6 +111,7 @@
         };
         let limits =
             BodyLimits { stall_timeout: settings.caller.idle_timeout, max_bytes: u64::MAX };
+        let upstreams = UpstreamClient::new(limits, interfaces.headers.request_id);
         let now = clock.now();
         Arc::new(Node {
             identity: identity.clone(),
@@ -125,7 +126,7 @@
             unsent_retry_limiters: UnsentRetryLimiters::default(),
             peers: Peers::default(),
             call_pool: CallPool::new(identity),
-            upstreams: UpstreamClient::new(limits),
+            upstreams,
             recent_requests: RecentRequests::new(),
             metrics: Metrics::new(),
             rng: Mutex::new(SplitMix64::new(rand::random())),
--- a/crates/node/src/upstream_call.rs
+++ b/crates/node/src/upstream_call.rs
@@ -12,7 +12,7 @@
 use payload::Payload;
 use peer::CallReply;
 use tokio::time::timeout_at;
-use upstream::{Reuse, UpstreamAnswer, UpstreamError};
+use upstream::{AnswerIdentity, Reuse, UpstreamAnswer, UpstreamError};
 use wire::{Call, Header};
 
 use crate::guard::{ActiveAttempt, refused};
@@ -159,31 +159,45 @@
 /// not occupy a slot for good.
 const MAX_LATE_BODY_TIME: Duration = Duration::from_secs(30);
 
-/// Checks that a response was produced by the upstream itself, is valid and belongs to the request.
+/// Checks that a response belongs to the request, was produced by the upstream itself and is valid.
+///
+/// Nothing in a response is evidence before its identity is known: it may be a second copy of the
+/// response to an earlier request on the connection, while the upstream runs this one.
 fn classify_answer(node: &Node, running: &RunningCall<'_>, answer: UpstreamAnswer) -> Outcome {
     let RunningCall { call, started, is_overdue, .. } = *running;
     let names = node.headers();
     let record = |result| node.guard.record_result(node, call, started, result);
-    if answer.status == StatusCode::MISDIRECTED_REQUEST.as_u16() {
-        // Another endpoint is now listening at the address.
-        return Outcome::Refused(ResultCode::EndpointUnknown);
-    }
-    if answer.headers.contains_key(names.not_run) {
-        record(CallResult::Shed);
-        return Outcome::Refused(ResultCode::UpstreamShed);
-    }
     let invalid = |reason: &str| {
         let (endpoint, id) = (&call.endpoint, &call.request);
         warn!("endpoint {endpoint} sent an invalid response to request {id} ({reason})");
-        record(CallResult::Broken);
         Outcome::Failed(ResultCode::AnswerInvalid)
     };
+    if answer.identity == AnswerIdentity::Foreign {
+        node.guard.suspend_reuse(&call.endpoint, node.now());
+        record(CallResult::Broken);
+        return invalid("the request id differs");
+    }
+    if let Some(refusal) = Refusal::of(&answer, names.not_run) {
+        if refusal == Refusal::NotRun {
+            record(CallResult::Shed);
+        }
+        if answer.identity.is_certain() {
+            return Outcome::Refused(refusal.code());
+        }
+        // The next refusals come on new connections, where they need no id to be believed.
+        node.guard.suspend_reuse(&call.endpoint, node.now());
+        return invalid("a refusal without a request id on a reused connection");
+    }
+    let invalid = |reason: &str| {
+        record(CallResult::Broken);
+        invalid(reason)
+    };
     if !(200..=599).contains(&answer.status) {
         return invalid("the status code is not a final one");
     }
-    if names.trusts_caller && !has_value(&answer.headers, names.request_id, call.request.as_str()) {
+    if names.trusts_caller && answer.identity != AnswerIdentity::Confirmed {
         node.guard.suspend_reuse(&call.endpoint, node.now());
-        return invalid("the request id is missing or differs");
+        return invalid("the request id is missing");
     }
     if let Some(stamp) = names.stamp {
         if !answer.headers.contains_key(stamp) {
@@ -206,8 +220,29 @@
     Outcome::Answer(answer)
 }
 
-fn has_value(headers: &HeaderMap, name: &str, expected: &str) -> bool {
-    headers.get(name).is_some_and(|value| value.as_bytes() == expected.as_bytes())
+/// A statement of the upstream that it did not run the request.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Refusal {
+    /// Another endpoint is now listening at the address.
+    OtherEndpoint,
+    /// The endpoint declined the request, for example because it is full.
+    NotRun,
+}
+
+impl Refusal {
+    fn of(answer: &UpstreamAnswer, not_run_header: &str) -> Option<Refusal> {
+        if answer.status == StatusCode::MISDIRECTED_REQUEST.as_u16() {
+            return Some(Refusal::OtherEndpoint);
+        }
+        answer.headers.contains_key(not_run_header).then_some(Refusal::NotRun)
+    }
+
+    fn code(self) -> ResultCode {
+        match self {
+            Refusal::OtherEndpoint => ResultCode::EndpointUnknown,
+            Refusal::NotRun => ResultCode::UpstreamShed,
+        }
+    }
 }
 
 /// Turns the response of the upstream into the reply for the entry node.
@@ -219,7 +254,7 @@
     started: Time,
 ) -> CallReply {
     let took = node.now().since(started);
-    let UpstreamAnswer { status, headers, body } = answer;
+    let UpstreamAnswer { status, headers, body, .. } = answer;
     // The slot stays in use until the whole response has been read from the upstream.
     let body = match body {
         Payload::Full(bytes) => {
--- a/crates/upstream/src/client.rs
+++ b/crates/upstream/src/client.rs
@@ -9,7 +9,7 @@
 
 use hyper::body::Body;
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::http::{HeaderMap, Request};
+use hyper::http::{HeaderMap, HeaderValue, Request};
 use hyper_util::rt::TokioIo;
 use payload::{BodyLimits, Payload, ReadAhead};
 use tokio::net::TcpStream;
@@ -72,14 +72,61 @@
     Never,
 }
 
+/// Which request a response belongs to, as far as its request id and its connection show.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AnswerIdentity {
+    /// The response has the id of the request.
+    Confirmed,
+    /// The response has no id, but its connection has carried no other request.
+    Implied,
+    /// The response has no id, and its connection has carried other requests. It may be a late second
+    /// copy of an earlier response.
+    Unknown,
+    /// The response has the id of another request.
+    Foreign,
+}
+
+impl AnswerIdentity {
+    /// Identifies a response to a request with the id `sent`.
+    fn of(
+        headers: &HeaderMap,
+        id_header: &str,
+        sent: Option<&HeaderValue>,
+        reused: bool,
+    ) -> AnswerIdentity {
+        let mut ids = headers.get_all(id_header).iter().peekable();
+        if ids.peek().is_some() {
+            return match ids.all(|id| Some(id) == sent) {
+                true => AnswerIdentity::Confirmed,
+                false => AnswerIdentity::Foreign,
+            };
+        }
+        if reused { AnswerIdentity::Unknown } else { AnswerIdentity::Implied }
+    }
+
+    /// Whether the response can't belong to another request.
+    ///
+    /// ```
+    /// use upstream::AnswerIdentity;
+    ///
+    /// assert!(AnswerIdentity::Implied.is_certain());
+    /// assert!(!AnswerIdentity::Unknown.is_certain());
+    /// ```
+    pub fn is_certain(self) -> bool {
+        matches!(self, AnswerIdentity::Confirmed | AnswerIdentity::Implied)
+    }
+}
+
 /// The response of an upstream.
 #[derive(Debug)]
 pub struct UpstreamAnswer {
+    /// Which request the response belongs to.
+    pub identity: AnswerIdentity,
     /// HTTP status code.
     pub status: u16,
     /// Response headers.
     pub headers: HeaderMap,
-    /// Response body.
+    /// Response body. It is empty if the response belongs to another request.
     pub body: Payload,
 }
 
@@ -88,6 +135,8 @@
 pub struct UpstreamClient {
     idle: Arc<Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>>,
     limits: BodyLimits,
+    /// Header with the id of the request, which upstreams repeat in the response.
+    id_header: &'static str,
 }
 
 /// A pooled connection without a request in progress.
@@ -98,9 +147,10 @@
 }
 
 impl UpstreamClient {
-    /// Creates a client. `limits` apply to the bodies of responses.
-    pub fn new(limits: BodyLimits) -> UpstreamClient {
-        UpstreamClient { idle: Arc::default(), limits }
+    /// Creates a client. `limits` apply to the bodies of responses. `id_header` has the id of a request
+    /// and identifies the response to it.
+    pub fn new(limits: BodyLimits, id_header: &'static str) -> UpstreamClient {
+        UpstreamClient { idle: Arc::default(), limits, id_header }
     }
 
     /// Sends a request. Dropping the future closes the connection, which cancels the call.
@@ -113,13 +163,18 @@
         if reuse == Reuse::Never {
             self.close_idle(addr);
         }
+        let id = req.headers().get(self.id_header).cloned();
         loop {
             let (mut sender, reused) = match self.take_idle(addr) {
                 Some(sender) => (sender, true),
                 None => (connect(addr).await?, false),
             };
             match sender.try_send_request(req).await {
-                Ok(response) => return self.receive_response(addr, sender, response).await,
+                Ok(response) => {
+                    let identity =
+                        AnswerIdentity::of(response.headers(), self.id_header, id.as_ref(), reused);
+                    return self.receive_response(addr, sender, response, identity).await;
+                }
                 // hyper returns the request only if no byte of it was written. The upstream has
                 // closed this idle connection, so it is safe to send the request on another one.
                 Err(mut err) => match err.take_message() {
@@ -136,8 +191,15 @@
         addr: SocketAddr,
         sender: SendRequest<Payload>,
         response: hyper::Response<hyper::body::Incoming>,
+        identity: AnswerIdentity,
     ) -> Result<UpstreamAnswer, UpstreamError> {
         let (head, body) = response.into_parts();
+        let status = head.status.as_u16();
+        if identity == AnswerIdentity::Foreign {
+            // The connection is closed, since the response to the request would be the next one on it.
+            let (headers, body) = (head.headers, Payload::empty());
+            return Ok(UpstreamAnswer { identity, status, headers, body });
+        }
         let exceeds_buffer = body.size_hint().lower() > MAX_BUFFERED_RESPONSE_BYTES as u64;
         let body = Payload::receive(body, self.limits);
         let body = match exceeds_buffer {
@@ -149,7 +211,7 @@
             },
         };
         self.release_once_ready(addr, sender, reuse_time(&head.headers));
-        Ok(UpstreamAnswer { status: head.status.as_u16(), headers: head.headers, body })
+        Ok(UpstreamAnswer { identity, status, headers: head.headers, body })
     }
 
     /// Closes the idle connections to an address.
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -4,4 +4,4 @@
 mod client;
 
 pub use announce::{AnnounceFormat, AnnounceHandler, NativeFormat, serve_announcements};
-pub use client::{Reuse, UpstreamAnswer, UpstreamClient, UpstreamError};
+pub use client::{AnswerIdentity, Reuse, UpstreamAnswer, UpstreamClient, UpstreamError};
