Keep the departures of endpoints when a node stops

Cause: the stop removed the node record, which held the list of departed endpoints that the next process of the node restores.

Ruled out: a separate object for each departure. Nothing would remove it if its node never returns, and each notice would cost a second write.

Evidence: an_endpoint_that_left_is_not_in_use_again_after_a_restart now ends the node with SIGTERM as well; with the earlier code it failed ("gone, Terminate, message 3: 200, expected 503"), now it passes.

Why this works: a stopping node whose endpoints have departed keeps its record, marked as stopped. Such a node is no member, and its next process finds the departures as after a kill. The task that writes the record does so during the stop too, so that no write in progress can follow the removal and restore the record of a stopped node.

--- a/crates/config/src/replica.rs
+++ b/crates/config/src/replica.rs
@@ -260,14 +260,19 @@
         self.accounts.iter().map(|e| &e.0)
     }
 
-    /// Returns the node record of a member.
-    pub fn member(&self, name: &NodeName) -> Option<&Arc<NodeEntry>> {
+    /// Returns the record of a node, which may have stopped.
+    pub fn node_record(&self, name: &NodeName) -> Option<&Arc<NodeEntry>> {
         self.nodes.get(name)
     }
 
     /// Iterates over all members and their node records, ordered by name.
     pub fn members(&self) -> impl Iterator<Item = (&NodeName, &Arc<NodeEntry>)> {
-        self.nodes.iter()
+        self.nodes.iter().filter(|(_, entry)| !entry.value().stopped)
+    }
+
+    /// Iterates over the nodes that have stopped and left a record, ordered by name.
+    pub fn stopped_nodes(&self) -> impl Iterator<Item = (&NodeName, &Arc<NodeEntry>)> {
+        self.nodes.iter().filter(|(_, entry)| entry.value().stopped)
     }
 
     /// Returns the bounds on what callers may send. Of several objects, the one with the lowest
--- a/crates/membership/src/announcements.rs
+++ b/crates/membership/src/announcements.rs
@@ -109,21 +109,13 @@
         }
     }
 
-    fn apply_state(
-        &mut self,
-        mut endpoint: Endpoint,
-        origin: Origin,
-        now: Time,
-    ) -> AnnounceOutcome {
+    fn apply_state(&mut self, endpoint: Endpoint, origin: Origin, now: Time) -> AnnounceOutcome {
         if self.is_stale(&endpoint, origin) {
             return AnnounceOutcome::Stale;
         }
         if let Some(started) = origin.started_ms {
             self.latest_starts.insert(endpoint.addr, started);
         }
-        if self.stopping {
-            endpoint.state = EndpointState::Leaving;
-        }
         let expires = now + self.ttl;
         if let Some(known) = self.endpoints.get_mut(&endpoint.name) {
             let is_same_start = known.origin.started_ms == origin.started_ms;
@@ -270,14 +262,11 @@
         removed
     }
 
-    /// Marks the node as stopping: all present and future endpoints get the state
-    /// [`EndpointState::Leaving`].
+    /// Marks the node as stopping: the table shows all present and future endpoints as
+    /// [`EndpointState::Leaving`]. They have not departed unless they say so themselves.
     pub fn stop(&mut self) {
         self.stopping = true;
         self.version += 1;
-        for known in self.endpoints.values_mut() {
-            known.endpoint.state = EndpointState::Leaving;
-        }
     }
 
     /// The version of the table. It starts again from 0 in each process.
@@ -285,14 +274,19 @@
         self.version
     }
 
-    /// Returns the endpoint with the given name.
+    /// Returns the endpoint with the given name, as it was announced.
     pub fn endpoint(&self, name: &EndpointName) -> Option<&Endpoint> {
         self.endpoints.get(name).map(|known| &known.endpoint)
     }
 
     /// Returns the endpoints to send to the peers, ordered by name.
     pub fn table(&self) -> Vec<Endpoint> {
-        self.endpoints.values().map(|known| known.endpoint.clone()).collect()
+        let mut table: Vec<Endpoint> =
+            self.endpoints.values().map(|known| known.endpoint.clone()).collect();
+        if self.stopping {
+            table.iter_mut().for_each(|endpoint| endpoint.state = EndpointState::Leaving);
+        }
+        table
     }
 }
 
--- a/crates/model/src/object.rs
+++ b/crates/model/src/object.rs
@@ -322,6 +322,10 @@
     /// Endpoints that have left the node's instance or are leaving it.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub departed: Vec<DepartedEndpoint>,
+    /// Whether the process has stopped. The node is then no member of the fleet, and the record is kept
+    /// for the next process of the node, which needs `departed`.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub stopped: bool,
 }
 
 /// An endpoint that has announced that it leaves. A process that takes over the node after a restart
--- a/crates/node/src/announce.rs
+++ b/crates/node/src/announce.rs
@@ -69,7 +69,7 @@
     let info = node.info();
     let departed = {
         let config = read(&node.config);
-        let record = config.objects.member(&info.node);
+        let record = config.objects.node_record(&info.node);
         let earlier = record.filter(|record| record.value().incarnation != info.incarnation);
         earlier.map(|record| record.value().departed.clone()).unwrap_or_default()
     };
--- a/crates/node/src/node_record.rs
+++ b/crates/node/src/node_record.rs
@@ -1,8 +1,10 @@
 //! Keeps this node's record in the platform up to date, and removes the records of dead nodes.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
+use config::Replica;
 use log::{info, warn};
 use membership::owner_of;
 use model::{Kind, NodeName, Object, ObjectKey, PartitionId, Revision, Time, stable_hash};
@@ -31,47 +33,93 @@
 /// Interval between checks for dead members.
 const DEAD_NODE_CHECK_INTERVAL: Duration = Duration::from_secs(5);
 
-/// Writes this node's record whenever the stored one is missing or outdated, so that other nodes
-/// know this process and its endpoints.
+/// Time after which the record that a stopped node has left is removed. A message of an endpoint that
+/// arrives after its notice is late by seconds.
+const STOPPED_RECORD_LIFETIME: Duration = Duration::from_secs(60);
+
+/// Keeps this node's record in the store up to date, so that other nodes know this process and its
+/// endpoints. When the node stops, the record is removed, or kept as that of a stopped node if
+/// endpoints have departed: the next process of the node needs that list. A failure to leave is
+/// harmless for the other nodes: the guard refuses calls that still arrive, and the record is removed
+/// later.
 pub(crate) async fn register(node: Arc<Node>) {
     // After the timeout the record is written without an endpoint.
     let _ = timeout(FIRST_RECORD_MAX_DELAY, wait_for_endpoint(&node)).await;
     let mut written: Option<WrittenRecord> = None;
     let mut retries = Retries::default();
     loop {
-        if node.phase() != Phase::Serving {
-            return;
-        }
-        if is_registered(&node) {
-            node.node_record_changed.notified().await;
-            continue;
-        }
-        let record = own_record(&node);
-        if let Some(echo_deadline) =
-            written.as_ref().and_then(|last| last.pending_until(&node, &record))
-        {
-            let changed = node.node_record_changed.notified();
-            let _ = timeout_at(node.clock.to_instant(echo_deadline), changed).await;
-            continue;
-        }
-        match write_record(&node, record.clone()).await {
-            Ok(revision) => {
+        let result = match next_step(&node, written.as_ref()) {
+            Step::Wait => {
+                node.node_record_changed.notified().await;
+                continue;
+            }
+            Step::WaitForEcho(deadline) => {
+                let changed = node.node_record_changed.notified();
+                let _ = timeout_at(node.clock.to_instant(deadline), changed).await;
+                continue;
+            }
+            Step::Write(record) => write_record(&node, record.clone()).await.map(|revision| {
                 info!("node record written at revision {revision}");
-                retries.reset();
                 let echo_deadline = node.now() + RECORD_ECHO_TIMEOUT;
+                let is_stopped = record.stopped;
                 written = Some(WrittenRecord { record, revision, echo_deadline });
+                is_stopped
+            }),
+            Step::Leave(stored) => {
+                let known = written.as_ref().map(|last| last.revision);
+                remove_own_record(&node, known.max(stored)).await.map(|()| true)
+            }
+        };
+        match result {
+            Ok(has_left) => {
+                retries.reset();
+                node.has_left.send_replace(has_left);
             }
             Err(err) => {
                 warn!("writing the node record failed: {err}");
-                node.platform.wait_for_recovery(&mut retries).await;
+                let changed = node.node_record_changed.notified();
+                tokio::select! {
+                    () = node.platform.wait_for_recovery(&mut retries) => {}
+                    () = changed => {}
+                }
             }
         }
     }
 }
 
-/// Waits for the first announcement of an endpoint. Changes of the configuration wake the task as well.
+/// What [`register`] does next.
+enum Step {
+    /// The record is up to date; wait for a change.
+    Wait,
+    /// The record was written; wait until the replica holds it, or until this time.
+    WaitForEcho(Time),
+    /// Write this record.
+    Write(model::NodeRecord),
+    /// Remove the record. The replica holds the one of this process at the given revision, if any.
+    Leave(Option<Revision>),
+}
+
+fn next_step(node: &Node, written: Option<&WrittenRecord>) -> Step {
+    let record = own_record(node);
+    if record.stopped && record.departed.is_empty() {
+        let has_left = *node.has_left.borrow();
+        return if has_left { Step::Wait } else { Step::Leave(stored_revision(node)) };
+    }
+    // A stopping process may not live to see the echo of its last record.
+    let is_written = written.is_some_and(|last| last.record == record);
+    if is_registered(node) || (record.stopped && is_written) {
+        return Step::Wait;
+    }
+    match written.and_then(|last| last.pending_until(node, &record)) {
+        Some(deadline) => Step::WaitForEcho(deadline),
+        None => Step::Write(record),
+    }
+}
+
+/// Waits for the first announcement of an endpoint, or for the stop of the node. Changes of the
+/// configuration wake the task as well.
 async fn wait_for_endpoint(node: &Node) {
-    while lock(&node.announcements).table().is_empty() {
+    while node.phase() == Phase::Serving && lock(&node.announcements).table().is_empty() {
         node.node_record_changed.notified().await;
     }
 }
@@ -100,13 +148,14 @@
 pub(crate) fn is_registered(node: &Node) -> bool {
     let own = own_record(node);
     let config = read(&node.config);
-    let record = config.objects.member(&node.info().node);
+    let record = config.objects.node_record(&node.info().node);
     record.is_some_and(|record| *record.value() == own)
 }
 
 fn own_record(node: &Node) -> model::NodeRecord {
+    let stopped = node.phase() != Phase::Serving;
     let announcements = lock(&node.announcements);
-    let mut endpoints = announcements.table();
+    let mut endpoints = if stopped { Vec::new() } else { announcements.table() };
     for endpoint in &mut endpoints {
         // The load changes with each announcement and is sent with the responses instead.
         endpoint.load = 0;
@@ -119,6 +168,7 @@
         table_version: announcements.version(),
         endpoints,
         departed: announcements.departed(),
+        stopped,
     }
 }
 
@@ -126,7 +176,8 @@
     let store = Arc::clone(&node.interfaces.store);
     let key = node_key(&node.info().node);
     let object = Object::Node(record);
-    let known = read(&node.config).objects.member(&node.info().node).map(|entry| entry.revision());
+    let known =
+        read(&node.config).objects.node_record(&node.info().node).map(|entry| entry.revision());
     run_blocking(move || {
         let deadline = std::time::Instant::now() + REGISTER_TIMEOUT;
         let put = |precondition| {
@@ -147,21 +198,30 @@
     .await
 }
 
-/// Removes this node's record, so that other nodes stop using it. A failure is harmless: the guard
-/// refuses calls that still arrive, and other nodes remove the record later.
-pub(crate) async fn unregister(node: &Arc<Node>) {
-    let key = node_key(&node.info().node);
-    let entry = {
-        let config = read(&node.config);
-        let entry = config.objects.member(&node.info().node);
-        entry.filter(|entry| entry.value().incarnation == node.info().incarnation).cloned()
-    };
-    let Some(entry) = entry else { return };
-    if let Err(err) = remove(node, key, entry.revision()).await {
-        warn!("removing the node record failed: {err}");
+/// Revision of this process's record in the replica.
+fn stored_revision(node: &Node) -> Option<Revision> {
+    let config = read(&node.config);
+    let entry = config.objects.node_record(&node.info().node)?;
+    (entry.value().incarnation == node.info().incarnation).then(|| entry.revision())
+}
+
+/// Removes this process's record, of which `known` is the latest revision.
+async fn remove_own_record(node: &Arc<Node>, known: Option<Revision>) -> Result<(), StoreError> {
+    let Some(revision) = known else { return Ok(()) };
+    let key = || node_key(&node.info().node);
+    match remove(node, key(), revision).await {
+        // A write of this process whose response was lost.
+        Err(StoreError::Conflict { current: Some(current) }) => remove(node, key(), current).await,
+        removed => removed,
     }
 }
 
+/// Waits until the record shows that this node has left the members, or is removed.
+pub(crate) async fn wait_until_left(node: &Node) {
+    // The sender lives as long as the node.
+    let _ = node.has_left.subscribe().wait_for(|has_left| *has_left).await;
+}
+
 async fn remove(node: &Arc<Node>, key: ObjectKey, at: Revision) -> Result<(), StoreError> {
     let store = Arc::clone(&node.interfaces.store);
     run_blocking(move || {
@@ -175,9 +235,11 @@
     .await
 }
 
-/// Removes the records of members that have been unreachable for [`DEAD_NODE_TIMEOUT`]. To avoid
-/// duplicate writes, the owner of each record among the live members removes it.
+/// Removes the records of members that have been unreachable for [`DEAD_NODE_TIMEOUT`], and those that
+/// stopped nodes left [`STOPPED_RECORD_LIFETIME`] ago. To avoid duplicate writes, the owner of each
+/// record among the live members removes it.
 pub(crate) async fn remove_dead_members(node: Arc<Node>) {
+    let mut stopped = StoppedRecords::default();
     loop {
         sleep(DEAD_NODE_CHECK_INTERVAL).await;
         if !node.platform.is_reachable() {
@@ -193,10 +255,20 @@
             warn!("removing the record of node {name}, a previous holder of this node's address");
             remove_record(&node, &name).await;
         }
-        for peer in dead {
-            let hash = stable_hash(&[b"dead", peer.name.as_str().as_bytes()]);
+        let is_removed_here = |name: &NodeName| {
+            let hash = stable_hash(&[b"dead", name.as_str().as_bytes()]);
             let candidates = alive.iter().map(|peer| &peer.name).chain([own]);
-            if owner_of(PartitionId(hash as u16), candidates) != Some(own) {
+            owner_of(PartitionId(hash as u16), candidates) == Some(own)
+        };
+        let expired = stopped.expired(&read(&node.config).objects, now);
+        for name in expired {
+            if is_removed_here(&name) {
+                info!("removing the record of node {name}, which has stopped");
+                remove_record(&node, &name).await;
+            }
+        }
+        for peer in dead {
+            if !is_removed_here(&peer.name) {
                 continue;
             }
             warn!(
@@ -208,19 +280,38 @@
     }
 }
 
+/// Records of stopped nodes, each with its revision and the time from which it is removed.
+#[derive(Default)]
+struct StoppedRecords(HashMap<NodeName, (Revision, Time)>);
+
+impl StoppedRecords {
+    /// Returns the nodes whose records have been those of stopped nodes for their whole lifetime, as
+    /// far as this node has seen.
+    fn expired(&mut self, objects: &Replica, now: Time) -> Vec<NodeName> {
+        let earlier = std::mem::take(&mut self.0);
+        for (name, entry) in objects.stopped_nodes() {
+            let known = earlier.get(name).filter(|(revision, _)| *revision == entry.revision());
+            let expires = known.map_or(now + STOPPED_RECORD_LIFETIME, |(_, expires)| *expires);
+            self.0.insert(name.clone(), (entry.revision(), expires));
+        }
+        let expired = self.0.iter().filter(|(_, (_, expires))| *expires <= now);
+        expired.map(|(name, _)| name.clone()).collect()
+    }
+}
+
 /// Nodes whose records still hold the peer address of this node.
 fn previous_address_holders(node: &Node) -> Vec<NodeName> {
     let config = read(&node.config);
     let addr = node.settings.peer.advertise;
     let holds_address = |name: &NodeName| {
-        config.objects.member(name).is_some_and(|entry| entry.value().peer_addr == addr)
+        config.objects.node_record(name).is_some_and(|entry| entry.value().peer_addr == addr)
     };
     let displaced = displaced_members(node, &config.objects);
     displaced.into_iter().filter(|name| holds_address(name)).cloned().collect()
 }
 
 async fn remove_record(node: &Arc<Node>, name: &NodeName) {
-    let entry = read(&node.config).objects.member(name).cloned();
+    let entry = read(&node.config).objects.node_record(name).cloned();
     let Some(entry) = entry else { return };
     if let Err(err) = remove(node, node_key(name), entry.revision()).await {
         warn!("removing the record of node {name} failed: {err}");
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -81,7 +81,9 @@
         let known = members.len();
         let mut is_changed = false;
         members.retain(|name, peer| {
-            let record = config.member(name).filter(|_| !displaced.contains(name));
+            let record = config.node_record(name);
+            let record = record.filter(|record| !record.value().stopped);
+            let record = record.filter(|_| !displaced.contains(name));
             if record.is_none() {
                 info!("node {name} is no longer a member");
                 write(&node.directory).remove_node(name);
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -85,6 +85,8 @@
     /// Wakes the task that announces new revisions to peers.
     pub(crate) revisions_changed: Notify,
     pub(crate) phase: watch::Sender<Phase>,
+    /// Whether the node record shows that this process has left the members.
+    pub(crate) has_left: watch::Sender<bool>,
     /// Time by which the process has to exit, once it is stopping. A further signal may move it.
     pub(crate) exit_at: watch::Sender<Option<Time>>,
     /// Notified when an operator requests a graceful stop.
@@ -134,6 +136,7 @@
             node_record_changed: Notify::new(),
             revisions_changed: Notify::new(),
             phase: watch::Sender::new(Phase::Serving),
+            has_left: watch::Sender::new(false),
             exit_at: watch::Sender::new(None),
             stop_requested: Notify::new(),
             platform: PlatformLink::new(),
--- a/crates/node/src/stop.rs
+++ b/crates/node/src/stop.rs
@@ -14,12 +14,12 @@
 use crate::shared::{Node, Phase, lock};
 use crate::{announce, node_record};
 
-/// Timeout of the removal of the node record, so that an unreachable platform does not delay the
+/// Timeout of the last change of the node record, so that an unreachable platform does not delay the
 /// stop.
 const UNREGISTER_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Delay between the removal of the node record and the refusal of calls from other nodes. Nodes
-/// with a watch in progress know of the removal by then. Calls from the others are refused as not
+/// Delay between the last change of the node record and the refusal of calls from other nodes. Nodes
+/// with a watch in progress know of the change by then. Calls from the others are refused as not
 /// run and retried at another node.
 const LEAVE_GRACE_PERIOD: Duration = Duration::from_millis(400);
 
@@ -128,8 +128,10 @@
     lock(&node.announcements).stop();
     announce::publish_table(node);
     close.send_replace(true);
-    if timeout(UNREGISTER_TIMEOUT, node_record::unregister(node)).await.is_err() {
-        warn!("stopping: removing the node record timed out; other nodes do not know of the stop");
+    if timeout(UNREGISTER_TIMEOUT, node_record::wait_until_left(node)).await.is_err() {
+        warn!(
+            "stopping: the node record was not changed in time; other nodes do not know of the stop"
+        );
     }
     sleep(LEAVE_GRACE_PERIOD).await;
     info!("stopping: finishing calls in flight");
--- a/crates/node/src/sync.rs
+++ b/crates/node/src/sync.rs
@@ -250,7 +250,7 @@
     }
     let has_earlier_record = config
         .objects
-        .member(&node.info().node)
+        .node_record(&node.info().node)
         .is_some_and(|record| record.value().incarnation != node.info().incarnation);
     node.peers.set_members(node, &config.objects);
     let marks = apply_marks(node, &config.objects);
--- a/crates/operator/tests/commands.rs
+++ b/crates/operator/tests/commands.rs
@@ -532,6 +532,7 @@
         table_version: 0,
         endpoints: Vec::new(),
         departed: Vec::new(),
+        stopped: false,
     });
     let key = ObjectKey::new(Kind::Node, "shop-1");
     let id = new_write_id();
--- a/crates/zinniacross/tests/users_platform.rs
+++ b/crates/zinniacross/tests/users_platform.rs
@@ -266,9 +266,9 @@
         assert_eq!(agent.run(req).unwrap().status(), 200);
     }
 
-    fn stop_node(&mut self) {
-        self.node.process.signal(Signal::Kill).unwrap();
-        self.node.process.wait(SOON).expect("a killed process ends");
+    fn stop_node(&mut self, signal: Signal) {
+        self.node.process.signal(signal).unwrap();
+        self.node.process.wait(SOON).expect("the process ends");
     }
 
     /// Starts the node and waits until it listens.
@@ -278,9 +278,9 @@
         assert!(wait_until(SOON, || TcpStream::connect(self.ready).is_ok()));
     }
 
-    /// Kills the node and starts it again, and waits until it is ready.
-    fn restart(&mut self) {
-        self.stop_node();
+    /// Ends the node with a signal and starts it again, and waits until it is ready.
+    fn restart(&mut self, signal: Signal) {
+        self.stop_node(signal);
         self.start_node();
         assert!(wait_until(SOON, || {
             status(&send(self.ready, "GET", "/api/readyz", "").0) == 200
@@ -333,6 +333,13 @@
         line.split_whitespace().nth(1).unwrap().parse().unwrap()
     }
 
+    /// Revision of the stored objects that the node knows.
+    fn objects_revision(&self) -> u64 {
+        let metrics = send(self.metrics, "GET", "/metrics", "").1;
+        let value = |line: &str| line.strip_prefix("zinniacross_objects_revision ")?.parse().ok();
+        metrics.lines().find_map(value).unwrap()
+    }
+
     fn call(&self, method: &str, path: &str, headers: &str) -> (String, String) {
         send(self.node.caller, method, path, headers)
     }
@@ -476,7 +483,7 @@
 #[test]
 fn requests_wait_for_the_start_of_the_node_but_not_for_the_store() {
     let mut site = Site::start();
-    site.stop_node();
+    site.stop_node(Signal::Kill);
     site.platform.set_faults(Faults { slow_ms: 250, ..Faults::default() });
     let started = Instant::now();
     site.start_node();
@@ -484,7 +491,7 @@
     let code = status(&site.call("GET", "/open/1", "").0);
     // On a busy machine the store may answer after the time for which requests wait.
     assert!(code == 200 || started.elapsed() > Duration::from_secs(1), "{code}");
-    site.stop_node();
+    site.stop_node(Signal::Kill);
     site.platform.set_faults(Faults { down: true, ..Faults::default() });
     let started = Instant::now();
     site.start_node();
@@ -664,7 +671,10 @@
 /// messages. A later start of the endpoint is another one.
 #[test]
 fn an_endpoint_that_left_is_not_in_use_again_after_a_restart() {
-    for notice in ["gone", "draining"] {
+    let cases = [("gone", Signal::Kill), ("draining", Signal::Kill)]
+        .into_iter()
+        .chain([("gone", Signal::Terminate), ("draining", Signal::Terminate)]);
+    for (notice, signal) in cases {
         let mut site = Site::start();
         site.endpoint.set(Mode::Answer);
         match notice {
@@ -672,12 +682,16 @@
             _ => assert_eq!(site.heartbeat("draining", 8), 200),
         }
         assert!(wait_until(SOON, || site.stored_record().contains("departed")), "{notice}");
-        site.restart();
+        // A node removes its record only if it knows the latest revision of it.
+        let stored: serde_json::Value = serde_json::from_str(&site.stored_record()).unwrap();
+        let revision = stored["meta"]["rev"].as_u64().unwrap();
+        assert!(wait_until(SOON, || site.objects_revision() >= revision), "{notice}");
+        site.restart(signal);
         let open = |site: &Site| status(&site.call("GET", "/open/1", "").0);
         for late in [3, 7] {
             site.heartbeat("ready", late);
             for _ in 0..5 {
-                assert_eq!(open(&site), 503, "{notice}, message {late}");
+                assert_eq!(open(&site), 503, "{notice}, {signal:?}, message {late}");
             }
         }
         assert_eq!(site.endpoint.heads().len(), 0, "{notice}");
--- a/xtask/src/slopes/config.rs
+++ b/xtask/src/slopes/config.rs
@@ -306,6 +306,7 @@
         table_version: 12,
         endpoints: vec![endpoint(number, 48)],
         departed: Vec::new(),
+        stopped: false,
     };
     stored(number, &format!("node-{number}"), Object::Node(record))
 }
