Keep the notice of a leaving endpoint that is removed from the table

A message that an endpoint had sent before its notice could make it ready again once it had left the table, because it refused a connection or its announcements had stopped (rule DRAIN).

Cause: only endpoints that were gone or replaced were remembered. A leaving one took its notice with it.

Evidence: departures_outlast_the_entry_in_the_table failed before ("left: Changed, right: Stale"), as did departures_are_bounded, which asks that the newest notices are the ones that the node record gets; both pass now.

Why this works: a message is compared with the notice as long as no later start of the endpoint is in the table. The list is bounded like that of ended endpoints, and the newest entries go into the record first.

--- a/crates/membership/src/announcements.rs
+++ b/crates/membership/src/announcements.rs
@@ -8,8 +8,8 @@
     Announcement, DepartedEndpoint, Endpoint, EndpointName, EndpointState, Origin, Report, Time,
 };
 
-/// Maximum number of ended endpoints to remember. Their start times identify messages that arrive
-/// after the endpoint has ended. An address rarely has more than one endpoint replaced per minute, so
+/// Maximum number of ended endpoints to remember, and of notices of leaving ones. They identify messages
+/// that arrive after the endpoint has ended or left the table. An address rarely has more than one endpoint replaced per minute, so
 /// 64 entries cover about an hour for one address.
 const MAX_ENDED_ENDPOINTS: usize = 64;
 
@@ -79,8 +79,9 @@
     /// Endpoints that have shut down or were replaced at their address, each with the latest
     /// start time of its ended upstream processes, oldest entry first.
     ended: Vec<(EndpointName, Option<u64>)>,
-    /// Notices of endpoints that were leaving when an earlier process of this node recorded them.
-    restored: BTreeMap<EndpointName, Origin>,
+    /// Notices of leaving endpoints that are not in the table, from this process or an earlier one of
+    /// this node, oldest entry first.
+    notices: Vec<(EndpointName, Origin)>,
 }
 
 impl Announcements {
@@ -94,7 +95,7 @@
             endpoints: BTreeMap::new(),
             latest_starts: HashMap::new(),
             ended: Vec::new(),
-            restored: BTreeMap::new(),
+            notices: Vec::new(),
         }
     }
 
@@ -155,7 +156,7 @@
             return true;
         }
         let known = self.endpoints.get(&endpoint.name).map(|known| known.origin);
-        let known = known.or(self.restored.get(&endpoint.name).copied());
+        let known = known.or_else(|| self.notice(&endpoint.name));
         known.is_some_and(|known| is_before(origin, known))
     }
 
@@ -165,8 +166,9 @@
         let is_leaving = |known: &&Registration| known.endpoint.state == EndpointState::Leaving;
         let leaving = self.endpoints.values().filter(is_leaving);
         let leaving = leaving.map(|known| (&known.endpoint.name, known.origin));
-        let restored = self.restored.iter().filter(|(name, _)| !self.endpoints.contains_key(*name));
-        let leaving = leaving.chain(restored.map(|(name, origin)| (name, *origin)));
+        let notices = self.notices.iter().rev();
+        let notices = notices.filter(|(name, _)| !self.endpoints.contains_key(name));
+        let leaving = leaving.chain(notices.map(|(name, origin)| (name, *origin)));
         let leaving = leaving.filter_map(|(name, origin)| {
             let (started_ms, sequence) = (origin.started_ms?, Some(origin.sequence?));
             Some(DepartedEndpoint { name: name.clone(), started_ms, sequence })
@@ -195,7 +197,7 @@
             });
             match sequence {
                 None => self.record_ended(name, Some(*started_ms)),
-                Some(_) => _ = self.restored.insert(name.clone(), notice),
+                Some(_) => self.record_notice(name, notice),
             }
             if is_late && self.remove(name) {
                 late.push(name.clone());
@@ -234,6 +236,29 @@
         self.ended.push((name.clone(), started.max(previous)));
     }
 
+    /// Records the latest message of a leaving endpoint that is not in the table any more.
+    fn record_notice(&mut self, name: &EndpointName, notice: Origin) {
+        self.notices.retain(|(known, _)| known != name);
+        if self.notices.len() == MAX_ENDED_ENDPOINTS {
+            self.notices.remove(0);
+        }
+        self.notices.push((name.clone(), notice));
+    }
+
+    fn notice(&self, name: &EndpointName) -> Option<Origin> {
+        self.notices.iter().find(|(known, _)| known == name).map(|(_, notice)| *notice)
+    }
+
+    /// Removes an endpoint from the table and keeps its notice if it is leaving. Returns whether it was
+    /// in the table.
+    fn remove_registration(&mut self, name: &EndpointName) -> bool {
+        let Some(known) = self.endpoints.remove(name) else { return false };
+        if known.endpoint.state == EndpointState::Leaving {
+            self.record_notice(name, known.origin);
+        }
+        true
+    }
+
     /// Returns whether a shutdown notice for an unknown endpoint names a later start than any that
     /// is recorded as ended.
     fn ends_newer_start(&self, name: &EndpointName, origin: Origin) -> bool {
@@ -248,16 +273,17 @@
         let expired: Vec<_> =
             self.endpoints.iter().filter(is_expired).map(|(name, _)| name.clone()).collect();
         for name in &expired {
-            self.endpoints.remove(name);
+            self.remove_registration(name);
         }
         self.version += u64::from(!expired.is_empty());
         expired
     }
 
     /// Removes an endpoint that is known to be gone before it expires. Returns whether it was in
-    /// the table. Its next announcement adds it again.
+    /// the table. Its next announcement adds it again, unless it was sent before a notice that the
+    /// endpoint leaves.
     pub fn remove(&mut self, name: &EndpointName) -> bool {
-        let removed = self.endpoints.remove(name).is_some();
+        let removed = self.remove_registration(name);
         self.version += u64::from(removed);
         removed
     }
--- a/crates/membership/tests/directory.rs
+++ b/crates/membership/tests/directory.rs
@@ -311,3 +311,49 @@
         assert!(early.table().is_empty());
     }
 }
+
+/// Guards against an endpoint that is in use again because a message from before its notice arrives
+/// after it has left the table: its announcements have stopped, or it has refused a connection.
+#[test]
+fn departures_outlast_the_entry_in_the_table() {
+    let name = "a".parse().unwrap();
+    let leaving = endpoint("a", "orders", "gold", EndpointState::Leaving);
+    let removals: [fn(&mut Announcements); 2] = [
+        |announcements| assert!(announcements.remove(&"a".parse().unwrap())),
+        |announcements| assert_eq!(announcements.expire(at(60_000)).len(), 1),
+    ];
+    for remove in removals {
+        let mut announcements = new_announcements();
+        let apply = |announcements: &mut Announcements, started, sequence, endpoint| {
+            let report = Report::State(endpoint);
+            announcements.apply(Announcement { origin: origin(started, sequence), report }, at(0))
+        };
+        assert_eq!(apply(&mut announcements, 1000, 1, ready("a", "gold")), changed());
+        assert_eq!(apply(&mut announcements, 1000, 5, leaving.clone()), changed());
+        remove(&mut announcements);
+        let late = apply(&mut announcements, 1000, 4, ready("a", "gold"));
+        assert_eq!(late, AnnounceOutcome::Stale);
+        assert!(announcements.endpoint(&name).is_none());
+        assert_eq!(announcements.departed().len(), 1, "the record keeps the departure");
+        // The endpoint may start again.
+        assert_eq!(apply(&mut announcements, 2000, 1, ready("a", "gold")), changed());
+        assert!(announcements.departed().is_empty());
+    }
+}
+
+/// Guards against a list of departures that grows with each endpoint that an instance has had, and
+/// against one that forgets the newest.
+#[test]
+fn departures_are_bounded() {
+    let mut announcements = new_announcements();
+    for number in 1..=500 {
+        let name = format!("e-{number}");
+        let leaving = endpoint(&name, "orders", "gold", EndpointState::Leaving);
+        let report = Report::State(leaving);
+        announcements.apply(Announcement { origin: origin(number, 1), report }, at(0));
+        announcements.remove(&name.parse().unwrap());
+    }
+    let departed = announcements.departed();
+    assert!(departed.len() <= 8, "{}", departed.len());
+    assert!(departed.iter().any(|departed| departed.name.as_str() == "e-500"));
+}
