Acknowledge a departure once it is stored

Cause: the notice was answered before the node record with the departure was written. The next process of the node found an older record and took a late heartbeat for the first message of the endpoint.

Ruled out: writing the record from the handler of the announcement. The record has one writer, which also knows the revision that it has to replace; the handler waits for it.

Evidence: an_acknowledged_departure_outlasts_a_kill and departures_are_acknowledged_once_they_are_stored failed before (200 where 503 is expected, each with both notices) and pass now.

Why this works: the acknowledgement promises that no process of the node uses the endpoint again, and the store is what outlasts a process. If the record is not written within 0.8 s, the answer is 503 and the endpoint sends its notice again; it gets no calls in the meantime.

--- a/crates/membership/src/announcements.rs
+++ b/crates/membership/src/announcements.rs
@@ -184,6 +184,12 @@
         leaving.take(MAX_RECORDED_ENDED).chain(gone).collect()
     }
 
+    /// Returns the latest departure of an endpoint in [`Announcements::departed`].
+    pub fn departure(&self, name: &EndpointName) -> Option<DepartedEndpoint> {
+        let departed = self.departed().into_iter().filter(|departed| departed.name == *name);
+        departed.max_by_key(|departed| (departed.started_ms, departed.sequence.is_none()))
+    }
+
     /// Restores the departures that an earlier process of this node has recorded. Removes and returns
     /// the endpoints that were added by a late message meanwhile.
     pub fn restore_departed(&mut self, departed: &[DepartedEndpoint]) -> Vec<EndpointName> {
--- a/crates/model/src/object.rs
+++ b/crates/model/src/object.rs
@@ -343,6 +343,29 @@
     pub sequence: Option<u64>,
 }
 
+impl DepartedEndpoint {
+    /// Returns whether all messages that `other` identifies as late are late by this departure too.
+    ///
+    /// ```
+    /// use model::DepartedEndpoint;
+    ///
+    /// let name: model::EndpointName = "orders-1".parse().unwrap();
+    /// let leaving = DepartedEndpoint { name: name.clone(), started_ms: 7, sequence: Some(3) };
+    /// let gone = DepartedEndpoint { name, started_ms: 7, sequence: None };
+    /// assert!(gone.covers(&leaving));
+    /// assert!(!leaving.covers(&gone));
+    /// ```
+    pub fn covers(&self, other: &DepartedEndpoint) -> bool {
+        // A start of an endpoint is ready only before its first notice, so the number of the notice
+        // makes no difference.
+        let covers_start = match self.started_ms == other.started_ms {
+            true => self.sequence.is_none() || other.sequence.is_some(),
+            false => self.started_ms > other.started_ms,
+        };
+        self.name == other.name && covers_start
+    }
+}
+
 /// Content of a stored object.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Object {
--- a/crates/node/src/announce.rs
+++ b/crates/node/src/announce.rs
@@ -2,12 +2,13 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use log::{info, warn};
 use membership::AnnounceOutcome;
-use model::{Announcement, EndpointName, Report};
-use upstream::AnnounceHandler;
+use model::{Announcement, DepartedEndpoint, EndpointName, EndpointState, Report};
+use tokio::time::timeout;
+use upstream::{AnnounceError, AnnounceHandler, PendingAck};
 
 use crate::shared::{Node, Phase, lock, read, write};
 
@@ -17,51 +18,89 @@
 }
 
 impl AnnounceHandler for LocalAnnounceHandler {
-    fn announced(&self, mut announcement: Announcement) -> Result<(), Box<str>> {
-        let node = &self.node;
-        if let Report::Gone(name) = &announcement.report
-            && lock(&node.announcements).endpoint(name).is_none()
-        {
-            // The endpoint is unknown, so there is no start time to use if the notice has none. Its
-            // sender started before now, so the current time is an upper bound.
-            announcement.origin.started_ms.get_or_insert_with(unix_ms);
-        }
-        let origin = announcement.origin;
-        let endpoint = match &announcement.report {
-            Report::State(endpoint) if endpoint.slots.0 == 0 => {
-                return Err("an endpoint needs at least one slot".into());
-            }
-            Report::State(endpoint) => Some(endpoint.clone()),
-            Report::Gone(_) => None,
-        };
-        let result = lock(&node.announcements).apply(announcement, node.now());
-        match (result, endpoint) {
-            (AnnounceOutcome::Changed { replaced }, Some(endpoint)) => {
-                for name in &replaced {
-                    info!("endpoint {name} was replaced at {}", endpoint.addr);
-                    node.guard.remove_endpoint(node, name);
+    fn announced(&self, announcement: Announcement) -> PendingAck<'_> {
+        Box::pin(async move {
+            let departing = match &announcement.report {
+                Report::Gone(name) => Some(name.clone()),
+                Report::State(endpoint) if endpoint.state == EndpointState::Leaving => {
+                    Some(endpoint.name.clone())
                 }
-                // On a stopping node the state is always leaving, whatever the announcement says.
-                let state = lock(&node.announcements).endpoint(&endpoint.name).map(|e| e.state);
-                info!(
-                    "endpoint {} is {:?} at {} (start {:?}, message {:?})",
-                    endpoint.name, state, endpoint.addr, origin.started_ms, origin.sequence
-                );
-                node.guard.update_endpoint(node, &endpoint);
-                publish_table(node);
-            }
-            (AnnounceOutcome::ShutDown(name), _) => {
-                info!("endpoint {name} announced its removal (start {:?})", origin.started_ms);
-                node.guard.remove_endpoint(node, &name);
-                publish_table(node);
+                Report::State(_) => None,
+            };
+            apply(&self.node, announcement)?;
+            match departing {
+                Some(name) => wait_until_stored(&self.node, &name).await,
+                None => Ok(()),
             }
-            (AnnounceOutcome::Stale, _) => {
-                info!("ignored a stale announcement (start {:?})", origin.started_ms);
+        })
+    }
+}
+
+/// Time for which the acknowledgement of a notice waits for the platform. Endpoints take a response after
+/// a second for a lost one.
+const STORE_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Waits until the platform holds the departure of an endpoint. The acknowledgement of a notice promises
+/// that no process of this node uses the endpoint again, also if this one is killed right after it.
+/// A notice without a start time and a number can't be compared with other messages, and is not stored.
+async fn wait_until_stored(node: &Node, name: &EndpointName) -> Result<(), AnnounceError> {
+    let Some(departure) = lock(&node.announcements).departure(name) else { return Ok(()) };
+    let mut stored = node.stored_departures.subscribe();
+    let holds =
+        |stored: &Vec<DepartedEndpoint>| stored.iter().any(|known| known.covers(&departure));
+    if holds(&stored.borrow()) {
+        return Ok(());
+    }
+    // A write that has failed is tried again now.
+    node.node_record_changed.notify_one();
+    match timeout(STORE_TIMEOUT, stored.wait_for(holds)).await {
+        Ok(Ok(_)) => Ok(()),
+        Ok(Err(_)) | Err(_) => Err(AnnounceError::NotStored),
+    }
+}
+
+/// Applies an announcement to the endpoint table and the guard.
+fn apply(node: &Arc<Node>, mut announcement: Announcement) -> Result<(), AnnounceError> {
+    if let Report::Gone(name) = &announcement.report
+        && lock(&node.announcements).endpoint(name).is_none()
+    {
+        // The endpoint is unknown, so there is no start time to use if the notice has none. Its
+        // sender started before now, so the current time is an upper bound.
+        announcement.origin.started_ms.get_or_insert_with(unix_ms);
+    }
+    let origin = announcement.origin;
+    let endpoint = match &announcement.report {
+        Report::State(endpoint) if endpoint.slots.0 == 0 => {
+            return Err(AnnounceError::Invalid("an endpoint needs at least one slot".into()));
+        }
+        Report::State(endpoint) => Some(endpoint.clone()),
+        Report::Gone(_) => None,
+    };
+    let result = lock(&node.announcements).apply(announcement, node.now());
+    match (result, endpoint) {
+        (AnnounceOutcome::Changed { replaced }, Some(endpoint)) => {
+            for name in &replaced {
+                info!("endpoint {name} was replaced at {}", endpoint.addr);
+                node.guard.remove_endpoint(node, name);
             }
-            (AnnounceOutcome::Unchanged | AnnounceOutcome::Changed { .. }, _) => {}
+            info!(
+                "endpoint {} is {:?} at {} (start {:?}, message {:?})",
+                endpoint.name, endpoint.state, endpoint.addr, origin.started_ms, origin.sequence
+            );
+            node.guard.update_endpoint(node, &endpoint);
+            publish_table(node);
+        }
+        (AnnounceOutcome::ShutDown(name), _) => {
+            info!("endpoint {name} announced its removal (start {:?})", origin.started_ms);
+            node.guard.remove_endpoint(node, &name);
+            publish_table(node);
+        }
+        (AnnounceOutcome::Stale, _) => {
+            info!("ignored a stale announcement (start {:?})", origin.started_ms);
         }
-        Ok(())
+        (AnnounceOutcome::Unchanged | AnnounceOutcome::Changed { .. }, _) => {}
     }
+    Ok(())
 }
 
 /// Restores the departures of endpoints that an earlier process of this node has recorded.
--- a/crates/node/src/node_record.rs
+++ b/crates/node/src/node_record.rs
@@ -61,6 +61,7 @@
             Step::Write(record) => write_record(&node, record.clone()).await.map(|revision| {
                 info!("node record written at revision {revision}");
                 let echo_deadline = node.now() + RECORD_ECHO_TIMEOUT;
+                node.stored_departures.send_replace(record.departed.clone());
                 let is_stopped = record.stopped;
                 written = Some(WrittenRecord { record, revision, echo_deadline });
                 is_stopped
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -12,7 +12,7 @@
 use health::DependencyFailures;
 use limits::Allowances;
 use membership::{Announcements, Directory};
-use model::{AttemptId, HeaderNames, Incarnation, ServiceName, Time};
+use model::{AttemptId, DepartedEndpoint, HeaderNames, Incarnation, ServiceName, Time};
 use payload::BodyLimits;
 use peer::{CallPool, Clock, FrameTap, Identity, PeerInfo, Secret};
 use routing::SplitMix64;
@@ -85,6 +85,8 @@
     /// Wakes the task that announces new revisions to peers.
     pub(crate) revisions_changed: Notify,
     pub(crate) phase: watch::Sender<Phase>,
+    /// Departures in the node record that this process has written last.
+    pub(crate) stored_departures: watch::Sender<Vec<DepartedEndpoint>>,
     /// Whether the node record shows that this process has left the members.
     pub(crate) has_left: watch::Sender<bool>,
     /// Time by which the process has to exit, once it is stopping. A further signal may move it.
@@ -136,6 +138,7 @@
             node_record_changed: Notify::new(),
             revisions_changed: Notify::new(),
             phase: watch::Sender::new(Phase::Serving),
+            stored_departures: watch::Sender::new(Vec::new()),
             has_left: watch::Sender::new(false),
             exit_at: watch::Sender::new(None),
             stop_requested: Notify::new(),
--- a/crates/upstream/src/announce.rs
+++ b/crates/upstream/src/announce.rs
@@ -3,6 +3,7 @@
 //! [`AnnounceFormat`].
 
 use std::convert::Infallible;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -28,10 +29,23 @@
 /// Timeout for reading the head of an announcement.
 const HEAD_READ_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Reason for which an announcement is not acknowledged.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum AnnounceError {
+    /// The announcement is not valid, for the given reason.
+    Invalid(Box<str>),
+    /// The platform does not hold yet what the acknowledgement promises. The upstream has to send the
+    /// announcement again.
+    NotStored,
+}
+
+/// The processing of an announcement, which ends when it can be acknowledged.
+pub type PendingAck<'a> = Pin<Box<dyn Future<Output = Result<(), AnnounceError>> + Send + 'a>>;
+
 /// Handles announcements.
 pub trait AnnounceHandler: Send + Sync {
-    /// Processes the announcement of an upstream. Returns the reason as an error if it is refused.
-    fn announced(&self, announcement: Announcement) -> Result<(), Box<str>>;
+    /// Processes the announcement of an upstream.
+    fn announced(&self, announcement: Announcement) -> PendingAck<'_>;
 }
 
 /// A format of announcements.
@@ -104,9 +118,10 @@
         Ok(announcement) => announcement,
         Err(reason) => return error_response(StatusCode::BAD_REQUEST, &reason),
     };
-    match handler.announced(announcement) {
+    match handler.announced(announcement).await {
         Ok(()) => acknowledgement(format),
-        Err(reason) => error_response(StatusCode::CONFLICT, &reason),
+        Err(AnnounceError::Invalid(reason)) => error_response(StatusCode::CONFLICT, &reason),
+        Err(AnnounceError::NotStored) => not_stored_response(),
     }
 }
 
@@ -124,6 +139,16 @@
 fn error_response(status: StatusCode, reason: &str) -> Response<Full<Bytes>> {
     let code = ResultCode::AnnouncementInvalid;
     warn!("refused an announcement: {code} ({reason})");
+    coded_response(status, code, reason)
+}
+
+fn not_stored_response() -> Response<Full<Bytes>> {
+    let code = ResultCode::PlatformUnavailable;
+    warn!("an announcement is not acknowledged yet: {code}");
+    coded_response(StatusCode::SERVICE_UNAVAILABLE, code, code.text())
+}
+
+fn coded_response(status: StatusCode, code: ResultCode, reason: &str) -> Response<Full<Bytes>> {
     let document = serde_json::json!({ "code": code.number(), "reason": reason });
     let mut response = Response::new(Full::new(document.to_string().into()));
     *response.status_mut() = status;
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -3,5 +3,7 @@
 mod announce;
 mod client;
 
-pub use announce::{AnnounceFormat, AnnounceHandler, NativeFormat, serve_announcements};
+pub use announce::{
+    AnnounceError, AnnounceFormat, AnnounceHandler, NativeFormat, PendingAck, serve_announcements,
+};
 pub use client::{AnswerIdentity, Reuse, UpstreamAnswer, UpstreamClient, UpstreamError};
--- a/crates/zinniacross/tests/users_platform.rs
+++ b/crates/zinniacross/tests/users_platform.rs
@@ -256,14 +256,26 @@
         }
     }
 
-    /// Sends the notice that the endpoint is gone.
-    fn deregister(&self, seq: u32) {
+    /// Sends the notice that the endpoint is gone. Returns the status.
+    fn deregister(&self, seq: u32) -> u16 {
         let url = format!("http://{}/api/endpoints/i-1", self.node.announce);
         let body = format!(r#"{{"seq":{seq},"born":7}}"#);
         let req = ureq::http::Request::delete(&url).body(body).unwrap();
         let agent: ureq::Agent =
             ureq::Agent::config_builder().allow_non_standard_methods(true).build().into();
-        assert_eq!(agent.run(req).unwrap().status(), 200);
+        match agent.run(req) {
+            Ok(answer) => answer.status().as_u16(),
+            Err(ureq::Error::StatusCode(status)) => status,
+            Err(err) => panic!("{err}"),
+        }
+    }
+
+    /// Sends a notice that the endpoint leaves, or that it is gone.
+    fn give_notice(&self, notice: &str, seq: u32) -> u16 {
+        match notice {
+            "gone" => self.deregister(seq),
+            state => self.heartbeat(state, seq),
+        }
     }
 
     fn stop_node(&mut self, signal: Signal) {
@@ -677,10 +689,7 @@
     for (notice, signal) in cases {
         let mut site = Site::start();
         site.endpoint.set(Mode::Answer);
-        match notice {
-            "gone" => site.deregister(8),
-            _ => assert_eq!(site.heartbeat("draining", 8), 200),
-        }
+        assert_eq!(site.give_notice(notice, 8), 200);
         assert!(wait_until(SOON, || site.stored_record().contains("departed")), "{notice}");
         // A node removes its record only if it knows the latest revision of it.
         let stored: serde_json::Value = serde_json::from_str(&site.stored_record()).unwrap();
@@ -699,3 +708,47 @@
         assert!(wait_until(SOON, || open(&site) == 200), "{notice}: the endpoint starts again");
     }
 }
+
+/// Guards against an acknowledgement of a notice that a kill of the node right after it undoes: the
+/// departure was not stored yet, and a message from before the notice brought the endpoint back.
+#[test]
+fn an_acknowledged_departure_outlasts_a_kill() {
+    for notice in ["gone", "draining"] {
+        let mut site = Site::start();
+        site.endpoint.set(Mode::Answer);
+        let faults = Faults { slow_ms: 200, ..Faults::default() };
+        site.platform.set_faults(faults);
+        assert_eq!(site.give_notice(notice, 8), 200);
+        site.restart(Signal::Kill);
+        site.heartbeat("ready", 3);
+        for _ in 0..5 {
+            assert_eq!(status(&site.call("GET", "/open/1", "").0), 503, "{notice}");
+        }
+        assert_eq!(site.endpoint.heads().len(), 0, "{notice}");
+    }
+}
+
+/// Guards against a departure that is acknowledged but stored nowhere, because the store is away. The
+/// endpoint gets no requests all the same, and a later notice is acknowledged soon after the store is
+/// back.
+#[test]
+fn departures_are_acknowledged_once_they_are_stored() {
+    for notice in ["gone", "draining"] {
+        let site = Site::start();
+        site.platform.set_faults(Faults { down: true, ..Faults::default() });
+        site.endpoint.set(Mode::Answer);
+        let started = Instant::now();
+        assert_eq!(site.give_notice(notice, 8), 503, "{notice}");
+        assert!(started.elapsed() < Duration::from_secs(1), "endpoints wait no longer");
+        assert_eq!(status(&site.call("GET", "/open/1", "").0), 503, "{notice}");
+        assert_eq!(site.endpoint.heads().len(), 0, "{notice}");
+        site.platform.set_faults(Faults::default());
+        let mut seq = 8;
+        let acknowledged = wait_until(SOON, || {
+            seq += 1;
+            site.give_notice(notice, seq) == 200
+        });
+        assert!(acknowledged, "{notice}");
+        assert!(site.stored_record().contains("departed"), "{notice}");
+    }
+}
