Use endpoints only once the stored departures are known

Cause: announcements were applied and the node record was written before the stored objects had been received. On a conflict the record was written over whatever revision the store held.

Evidence: endpoints_wait_until_departures_are_known failed before (200 where 503 is expected), and departures_of_a_late_write_are_kept found a record without the departure; both pass now.

Why this works: whether a message is late can only be told with the departures that earlier processes have recorded. They are read, from the store or a peer, before the first endpoint is used, and again if another write comes between.

--- a/crates/node/src/announce.rs
+++ b/crates/node/src/announce.rs
@@ -27,19 +27,33 @@
                 }
                 Report::State(_) => None,
             };
-            apply(&self.node, announcement)?;
+            let node = &self.node;
+            if departing.is_none() {
+                wait_until_departures_known(node).await?;
+            }
+            apply(node, announcement)?;
             match departing {
-                Some(name) => wait_until_stored(&self.node, &name).await,
+                Some(name) => wait_until_stored(node, &name).await,
                 None => Ok(()),
             }
         })
     }
 }
 
-/// Time for which the acknowledgement of a notice waits for the platform. Endpoints take a response after
-/// a second for a lost one.
+/// Time for which the acknowledgement of an announcement waits for the platform. Endpoints take a response
+/// after a second for a lost one.
 const STORE_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Waits until the departures that earlier processes of this node have recorded are known. Before, a
+/// late message can't be told from one of an endpoint that is still there.
+async fn wait_until_departures_known(node: &Node) -> Result<(), AnnounceError> {
+    let mut known = node.has_objects.subscribe();
+    match timeout(STORE_TIMEOUT, known.wait_for(|known| *known)).await {
+        Ok(Ok(_)) => Ok(()),
+        Ok(Err(_)) | Err(_) => Err(AnnounceError::Unavailable),
+    }
+}
+
 /// Waits until the platform holds the departure of an endpoint. The acknowledgement of a notice promises
 /// that no process of this node uses the endpoint again, also if this one is killed right after it.
 /// A notice without a start time and a number can't be compared with other messages, and is not stored.
@@ -55,7 +69,7 @@
     node.node_record_changed.notify_one();
     match timeout(STORE_TIMEOUT, stored.wait_for(holds)).await {
         Ok(Ok(_)) => Ok(()),
-        Ok(Err(_)) | Err(_) => Err(AnnounceError::NotStored),
+        Ok(Err(_)) | Err(_) => Err(AnnounceError::Unavailable),
     }
 }
 
@@ -112,7 +126,12 @@
         let earlier = record.filter(|record| record.value().incarnation != info.incarnation);
         earlier.map(|record| record.value().departed.clone()).unwrap_or_default()
     };
-    let late = lock(&node.announcements).restore_departed(&departed);
+    restore(node, &departed);
+}
+
+/// Restores departures, and removes the endpoints that late messages have added meanwhile.
+pub(crate) fn restore(node: &Arc<Node>, departed: &[DepartedEndpoint]) {
+    let late = lock(&node.announcements).restore_departed(departed);
     for endpoint in &late {
         warn!("endpoint {endpoint} was removed: it had left before this process started");
         node.guard.remove_endpoint(node, endpoint);
--- a/crates/node/src/node_record.rs
+++ b/crates/node/src/node_record.rs
@@ -7,10 +7,13 @@
 use config::Replica;
 use log::{info, warn};
 use membership::owner_of;
-use model::{Kind, NodeName, Object, ObjectKey, PartitionId, Revision, Time, stable_hash};
+use model::{
+    Kind, NodeName, Object, ObjectKey, PartitionId, Revision, StoredObject, Time, stable_hash,
+};
 use store::{Precondition, StoreError, new_write_id, write_and_resolve};
-use tokio::time::{sleep, timeout, timeout_at};
+use tokio::time::{Instant, sleep, timeout_at};
 
+use crate::announce;
 use crate::peers::{Peer, displaced_members};
 use crate::platform_link::Retries;
 use crate::shared::{Node, Phase, lock, read};
@@ -43,8 +46,7 @@
 /// harmless for the other nodes: the guard refuses calls that still arrive, and the record is removed
 /// later.
 pub(crate) async fn register(node: Arc<Node>) {
-    // After the timeout the record is written without an endpoint.
-    let _ = timeout(FIRST_RECORD_MAX_DELAY, wait_for_endpoint(&node)).await;
+    wait_for_start(&node).await;
     let mut written: Option<WrittenRecord> = None;
     let mut retries = Retries::default();
     loop {
@@ -58,24 +60,14 @@
                 let _ = timeout_at(node.clock.to_instant(deadline), changed).await;
                 continue;
             }
-            Step::Write(record) => write_record(&node, record.clone()).await.map(|revision| {
-                info!("node record written at revision {revision}");
-                let echo_deadline = node.now() + RECORD_ECHO_TIMEOUT;
-                node.stored_departures.send_replace(record.departed.clone());
-                let is_stopped = record.stopped;
-                written = Some(WrittenRecord { record, revision, echo_deadline });
-                is_stopped
-            }),
+            Step::Write(record) => write_record(&node, record, &mut written).await,
             Step::Leave(stored) => {
-                let known = written.as_ref().map(|last| last.revision);
-                remove_own_record(&node, known.max(stored)).await.map(|()| true)
+                let last = written.as_ref().map(|last| last.revision);
+                remove_own_record(&node, last.max(stored)).await
             }
         };
         match result {
-            Ok(has_left) => {
-                retries.reset();
-                node.has_left.send_replace(has_left);
-            }
+            Ok(()) => retries.reset(),
             Err(err) => {
                 warn!("writing the node record failed: {err}");
                 let changed = node.node_record_changed.notified();
@@ -117,12 +109,21 @@
     }
 }
 
-/// Waits for the first announcement of an endpoint, or for the stop of the node. Changes of the
-/// configuration wake the task as well.
-async fn wait_for_endpoint(node: &Node) {
-    while node.phase() == Phase::Serving && lock(&node.announcements).table().is_empty() {
+/// Waits until the stored objects are known, which contain the record of the previous process, and then
+/// for the first announcement of an endpoint for at most [`FIRST_RECORD_MAX_DELAY`] since the start. Ends
+/// when the node stops.
+async fn wait_for_start(node: &Node) {
+    let latest = Instant::now() + FIRST_RECORD_MAX_DELAY;
+    // Changes of the configuration wake the task as well.
+    while node.phase() == Phase::Serving && !*node.has_objects.borrow() {
         node.node_record_changed.notified().await;
     }
+    let has_endpoint = || !lock(&node.announcements).table().is_empty();
+    while node.phase() == Phase::Serving && !has_endpoint() {
+        if timeout_at(latest, node.node_record_changed.notified()).await.is_err() {
+            return;
+        }
+    }
 }
 
 /// The node record that was written last.
@@ -173,28 +174,81 @@
     }
 }
 
-async fn write_record(node: &Arc<Node>, record: model::NodeRecord) -> Result<Revision, StoreError> {
-    let store = Arc::clone(&node.interfaces.store);
-    let key = node_key(&node.info().node);
-    let object = Object::Node(record);
+/// Writes the record of this node, and tells those who wait for it.
+async fn write_record(
+    node: &Arc<Node>,
+    record: model::NodeRecord,
+    written: &mut Option<WrittenRecord>,
+) -> Result<(), StoreError> {
+    let last = written.as_ref().map(|last| last.revision);
+    let (record, revision) = store_record(node, record, last).await?;
+    info!("node record written at revision {revision}");
+    node.stored_departures.send_replace(record.departed.clone());
+    node.has_left.send_replace(record.stopped);
+    let echo_deadline = node.now() + RECORD_ECHO_TIMEOUT;
+    *written = Some(WrittenRecord { record, revision, echo_deadline });
+    Ok(())
+}
+
+/// Stores the record of this node, which this process has written last at revision `last`, if at all.
+/// Returns the record as it was stored, with its revision.
+async fn store_record(
+    node: &Arc<Node>,
+    record: model::NodeRecord,
+    last: Option<Revision>,
+) -> Result<(model::NodeRecord, Revision), StoreError> {
     let known =
         read(&node.config).objects.node_record(&node.info().node).map(|entry| entry.revision());
-    run_blocking(move || {
-        let deadline = std::time::Instant::now() + REGISTER_TIMEOUT;
-        let put = |precondition| {
-            let id = new_write_id();
-            write_and_resolve(&*store, &key, precondition, Some(&object), &id, deadline)
-        };
-        let written = put(known.map_or(Precondition::Absent, Precondition::At));
-        match written {
-            // Written by an earlier process of this node, or by this one and not yet in the
-            // replica.
-            Err(StoreError::Conflict { current: Some(revision) }) => {
-                put(Precondition::At(revision))
+    let precondition = known.max(last).map_or(Precondition::Absent, Precondition::At);
+    match put_record(node, record.clone(), precondition).await {
+        // Written by an earlier process of this node, or by this one and not yet in the replica.
+        Err(StoreError::Conflict { current: Some(revision) }) => {
+            replace_record(node, revision).await
+        }
+        Err(StoreError::Conflict { current: None }) => {
+            put_record(node, record, Precondition::Absent).await
+        }
+        written => written,
+    }
+}
+
+/// Replaces a record that the replica does not hold, and that was last seen at `revision`. A process that
+/// has ended may have recorded departures in it that this one does not know yet.
+async fn replace_record(
+    node: &Arc<Node>,
+    revision: Revision,
+) -> Result<(model::NodeRecord, Revision), StoreError> {
+    let (store, key) = (Arc::clone(&node.interfaces.store), node_key(&node.info().node));
+    let precondition = match run_blocking(move || store.read(&key)).await {
+        Ok(Some(StoredObject { object: Some(object), revision, .. })) => {
+            if let Object::Node(record) = object
+                && record.incarnation != node.info().incarnation
+            {
+                announce::restore(node, &record.departed);
             }
-            Err(StoreError::Conflict { current: None }) => put(Precondition::Absent),
-            written => written,
+            Precondition::At(revision)
         }
+        Ok(Some(StoredObject { object: None, .. }) | None) => Precondition::Absent,
+        // The entry of another writer, which tells nothing about endpoints.
+        Err(StoreError::Invalid(_)) => Precondition::At(revision),
+        Err(err) => return Err(err),
+    };
+    put_record(node, own_record(node), precondition).await
+}
+
+async fn put_record(
+    node: &Arc<Node>,
+    record: model::NodeRecord,
+    precondition: Precondition,
+) -> Result<(model::NodeRecord, Revision), StoreError> {
+    let (store, key) = (Arc::clone(&node.interfaces.store), node_key(&node.info().node));
+    run_blocking(move || {
+        let deadline = std::time::Instant::now() + REGISTER_TIMEOUT;
+        let object = Object::Node(record.clone());
+        let id = new_write_id();
+        let revision =
+            write_and_resolve(&*store, &key, precondition, Some(&object), &id, deadline)?;
+        Ok((record, revision))
     })
     .await
 }
@@ -206,15 +260,20 @@
     (entry.value().incarnation == node.info().incarnation).then(|| entry.revision())
 }
 
-/// Removes this process's record, of which `known` is the latest revision.
+/// Removes this process's record, of which `known` is the latest revision, and tells those who wait.
 async fn remove_own_record(node: &Arc<Node>, known: Option<Revision>) -> Result<(), StoreError> {
-    let Some(revision) = known else { return Ok(()) };
-    let key = || node_key(&node.info().node);
-    match remove(node, key(), revision).await {
-        // A write of this process whose response was lost.
-        Err(StoreError::Conflict { current: Some(current) }) => remove(node, key(), current).await,
-        removed => removed,
+    if let Some(revision) = known {
+        let key = || node_key(&node.info().node);
+        match remove(node, key(), revision).await {
+            // A write of this process whose response was lost.
+            Err(StoreError::Conflict { current: Some(current) }) => {
+                remove(node, key(), current).await?;
+            }
+            removed => removed?,
+        }
     }
+    node.has_left.send_replace(true);
+    Ok(())
 }
 
 /// Waits until the record shows that this node has left the members, or is removed.
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -85,6 +85,8 @@
     /// Wakes the task that announces new revisions to peers.
     pub(crate) revisions_changed: Notify,
     pub(crate) phase: watch::Sender<Phase>,
+    /// Whether the stored objects have been received, from the platform or from a peer.
+    pub(crate) has_objects: watch::Sender<bool>,
     /// Departures in the node record that this process has written last.
     pub(crate) stored_departures: watch::Sender<Vec<DepartedEndpoint>>,
     /// Whether the node record shows that this process has left the members.
@@ -138,6 +140,7 @@
             node_record_changed: Notify::new(),
             revisions_changed: Notify::new(),
             phase: watch::Sender::new(Phase::Serving),
+            has_objects: watch::Sender::new(false),
             stored_departures: watch::Sender::new(Vec::new()),
             has_left: watch::Sender::new(false),
             exit_at: watch::Sender::new(None),
--- a/crates/node/src/sync.rs
+++ b/crates/node/src/sync.rs
@@ -124,6 +124,8 @@
     let listing = run_blocking(move || store.list()).await?;
     let applied = write(&node.config).objects.apply_listing(listing.revision, listing.objects);
     update_dependents(node, Feed::Objects, applied, "list");
+    // A listing of an empty store changes nothing, but is known from here on.
+    record_objects(node);
     Ok(())
 }
 
@@ -233,11 +235,21 @@
         }
     }
     refresh_dependents(node, feed, source);
+    if feed == Feed::Objects {
+        record_objects(node);
+    }
     if node.is_loaded() {
         node.platform.record_loaded();
     }
 }
 
+/// Records that the stored objects have been received, and wakes the task that writes the node record.
+fn record_objects(node: &Node) {
+    if !node.has_objects.send_replace(true) {
+        node.node_record_changed.notify_one();
+    }
+}
+
 fn refresh_dependents(node: &Arc<Node>, feed: Feed, source: &str) {
     let config = read(&node.config);
     let revisions = config.revisions();
--- a/crates/upstream/src/announce.rs
+++ b/crates/upstream/src/announce.rs
@@ -34,9 +34,9 @@
 pub enum AnnounceError {
     /// The announcement is not valid, for the given reason.
     Invalid(Box<str>),
-    /// The platform does not hold yet what the acknowledgement promises. The upstream has to send the
-    /// announcement again.
-    NotStored,
+    /// The platform does not hold yet what the acknowledgement promises, or what it holds is not known
+    /// yet. The upstream has to send the announcement again.
+    Unavailable,
 }
 
 /// The processing of an announcement, which ends when it can be acknowledged.
@@ -121,7 +121,7 @@
     match handler.announced(announcement).await {
         Ok(()) => acknowledgement(format),
         Err(AnnounceError::Invalid(reason)) => error_response(StatusCode::CONFLICT, &reason),
-        Err(AnnounceError::NotStored) => not_stored_response(),
+        Err(AnnounceError::Unavailable) => unavailable_response(),
     }
 }
 
@@ -142,7 +142,7 @@
     coded_response(status, code, reason)
 }
 
-fn not_stored_response() -> Response<Full<Bytes>> {
+fn unavailable_response() -> Response<Full<Bytes>> {
     let code = ResultCode::PlatformUnavailable;
     warn!("an announcement is not acknowledged yet: {code}");
     coded_response(StatusCode::SERVICE_UNAVAILABLE, code, code.text())
--- a/crates/zinniacross/tests/users_platform.rs
+++ b/crates/zinniacross/tests/users_platform.rs
@@ -752,3 +752,50 @@
         assert!(site.stored_record().contains("departed"), "{notice}");
     }
 }
+
+/// Guards against a late message that a new process takes for one of an endpoint that is still there,
+/// because it can't read the departures that the process before it has stored.
+#[test]
+fn endpoints_wait_until_departures_are_known() {
+    let mut site = Site::start();
+    assert_eq!(site.give_notice("gone", 8), 200);
+    site.stop_node(Signal::Kill);
+    site.platform.set_faults(Faults { down: true, ..Faults::default() });
+    site.start_node();
+    let started = Instant::now();
+    assert_eq!(site.heartbeat("ready", 3), 503);
+    assert!(started.elapsed() < Duration::from_secs(1), "endpoints wait no longer");
+    site.platform.set_faults(Faults::default());
+    // A message of a later start is accepted once the store is back.
+    assert!(wait_until(SOON, || site.heartbeat_of_start("ready", 1, 9000) == 200));
+    assert!(wait_until(SOON, || status(&site.call("GET", "/open/1", "").0) == 200));
+}
+
+/// Guards against a node record that is written over that of an earlier process, whose last write took
+/// effect late, before its departures have been read.
+#[test]
+fn departures_of_a_late_write_are_kept() {
+    let mut site = Site::start();
+    let stored = || -> serde_json::Value { serde_json::from_str(&site.stored_record()).unwrap() };
+    let is_written = || stored().to_string().contains("i-1");
+    assert!(wait_until(SOON, is_written));
+    let mut late = stored();
+    site.stop_node(Signal::Kill);
+    site.start_node();
+    assert!(wait_until(SOON, || site.log().contains("from list")));
+    // The late write: the endpoint is gone.
+    let document = &mut late["spec"]["document"];
+    document["endpoints"] = serde_json::json!([]);
+    document["departed"] = serde_json::json!([{"name": "i-1", "started_ms": 7}]);
+    let url = format!("{}/api/objects/zinniacross/node.node-0", site.platform.url());
+    ureq::put(&url).header("content-type", "application/json").send(late.to_string()).unwrap();
+    site.endpoint.set(Mode::Answer);
+    assert_eq!(site.heartbeat("ready", 3), 200);
+    let is_kept = || {
+        let record = site.stored_record();
+        !record.contains(&late["spec"]["document"]["incarnation"].to_string())
+            && record.contains("departed")
+    };
+    assert!(wait_until(SOON, is_kept), "{}", site.stored_record());
+    assert_eq!(status(&site.call("GET", "/open/1", "").0), 503);
+}
