Send the configuration to a node that starts without the platform

A node that was restarted while the platform was away answered every request 503 until the platform was back, if its settings named no seeds, as is usual on the users' platform.

Cause: the list of nodes is on the platform, so the new process knew nobody to pull the configuration from, although all other nodes knew it and compared revisions with it.

Ruled out: pulling from whoever connects. The listening port of the other side isn't part of the handshake.

Evidence: restarted_node_without_platform_and_seeds_serves failed before (1012 for 10 s) and passes now; the other tests of keys.rs pass.

Why this works: a peer sees in the comparison that the node has nothing, waits a second, in which a node that reaches the platform has everything, asks again and sends its copy in the frames of a pull. The node takes it only while it has nothing itself.

--- a/crates/config/src/configuration.rs
+++ b/crates/config/src/configuration.rs
@@ -36,6 +36,14 @@
     pub fn is_ahead_of(self, other: Revisions) -> bool {
         self.objects > other.objects || self.imported > other.imported
     }
+
+    /// Returns the revision of a feed.
+    pub fn of(self, feed: Feed) -> Revision {
+        match feed {
+            Feed::Objects => self.objects,
+            Feed::Imported => self.imported,
+        }
+    }
 }
 
 impl fmt::Display for Revisions {
--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -5,9 +5,9 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use config::{Feed, ReceiveOutcome, Revisions};
+use config::{Chunk, Feed, ReceiveOutcome, Revisions};
 use log::info;
-use model::NodeName;
+use model::{NodeName, Revision};
 use rand::RngExt;
 use rand::seq::IndexedRandom;
 use tokio::time::sleep;
@@ -15,7 +15,7 @@
 
 use crate::peers::Peer;
 use crate::shared::{Node, lock, read, write};
-use crate::sync::{is_config_reader, update_dependents};
+use crate::sync::{is_config_reader, transfer_since, update_dependents};
 
 /// Interval between comparisons of revisions with a peer. If the connection of a watch is dead,
 /// changes arrive from a peer after at most this interval and [`CATCH_UP_DELAY`], within the 2 s in
@@ -56,6 +56,10 @@
     }
 }
 
+/// Time that a started node has to receive the configuration by itself before a peer sends it. Nodes that
+/// reach the platform have it after 0.7 s, also if 400 of them start at the same moment.
+const SUPPLY_DELAY: Duration = Duration::from_secs(1);
+
 /// Pulls newer revisions from a peer, unless this node's own watch delivers them first.
 pub(crate) fn catch_up(node: &Arc<Node>, peer: Arc<Peer>, peer_revisions: Revisions) {
     /// Set while a pull is pending or in progress, so that further calls from peers don't start
@@ -106,6 +110,9 @@
         Ok(reply) => {
             peer.record_success();
             let Frame::Revisions(peer_revisions) = reply.frame else { return };
+            if !feeds_to_supply(&node, peer_revisions).is_empty() && peer.begin_supply() {
+                tokio::spawn(supply(Arc::clone(&node), Arc::clone(&peer)));
+            }
             if peer_revisions.is_ahead_of(read(&node.config).revisions()) {
                 catch_up(&node, peer, peer_revisions);
             }
@@ -114,6 +121,48 @@
     }
 }
 
+/// Feeds of which this node holds something and a peer nothing.
+fn feeds_to_supply(node: &Node, peer_revisions: Revisions) -> Vec<Feed> {
+    let own = read(&node.config).revisions();
+    let lacks =
+        |feed: &Feed| own.of(*feed) > Revision::ZERO && peer_revisions.of(*feed) == Revision::ZERO;
+    Feed::ALL.into_iter().filter(lacks).collect()
+}
+
+/// Sends a peer what it has not received by itself [`SUPPLY_DELAY`] after this node noticed. It has started
+/// while it can't reach the platform, and knows no node to pull from: the list of nodes is on the
+/// platform.
+async fn supply(node: Arc<Node>, peer: Arc<Peer>) {
+    sleep(SUPPLY_DELAY).await;
+    let own = read(&node.config).revisions();
+    if let Ok(reply) = peer.control.request(Frame::Revisions(own)).await
+        && let Frame::Revisions(peer_revisions) = reply.frame
+    {
+        for feed in feeds_to_supply(&node, peer_revisions) {
+            info!("sending the {feed:?} feed to node {}, which has none", peer.name);
+            push_feed(&node, &peer, feed).await;
+        }
+    }
+    peer.end_supply();
+}
+
+async fn push_feed(node: &Node, peer: &Peer, feed: Feed) {
+    let Some(chunks) = transfer_since(node, feed, Revision::ZERO) else { return };
+    for chunk in chunks {
+        match peer.control.request(Frame::Objects(feed, chunk)).await {
+            Ok(reply) if reply.frame == Frame::Done => {}
+            Ok(_) | Err(_) => return,
+        }
+    }
+}
+
+/// Processes a chunk that a peer has sent unasked, because this node had nothing of the feed.
+pub(crate) fn receive_supply(node: &Arc<Node>, from: &NodeName, feed: Feed, chunk: Chunk) {
+    if read(&node.config).replica(feed).revision() == Revision::ZERO {
+        receive_chunk(node, from, feed, Frame::Objects(feed, chunk));
+    }
+}
+
 /// Fetches the configuration from the seeds if the platform is unreachable at startup.
 async fn fetch_from_seeds(node: &Arc<Node>) {
     for seed in &node.settings.fleet_seeds {
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -3,6 +3,7 @@
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -50,6 +51,8 @@
     pub(crate) addr: SocketAddr,
     pub(crate) control: ControlClient,
     path: Mutex<PathState>,
+    /// Whether this node is sending the configuration to the peer, or will do so.
+    is_supplied: AtomicBool,
 }
 
 /// State of the network path to a peer, as observed by this node's own exchanges.
@@ -148,7 +151,17 @@
     fn new(node: &Node, name: &NodeName, domain: &FailureDomain, addr: SocketAddr) -> Peer {
         let control = ControlClient::start(addr, node.identity.clone());
         let path = Mutex::default();
-        Peer { name: name.clone(), domain: domain.clone(), addr, control, path }
+        let is_supplied = AtomicBool::new(false);
+        Peer { name: name.clone(), domain: domain.clone(), addr, control, path, is_supplied }
+    }
+
+    /// Claims the task of sending the configuration to the peer. Returns false if it is claimed already.
+    pub(crate) fn begin_supply(&self) -> bool {
+        !self.is_supplied.swap(true, Ordering::Relaxed)
+    }
+
+    pub(crate) fn end_supply(&self) {
+        self.is_supplied.store(false, Ordering::Relaxed);
     }
 
     pub(crate) fn reachability(&self, now: Time) -> Reachability {
@@ -241,6 +254,10 @@
                 catch_up_if_behind(node, &peer.node, peer_revisions);
                 Frame::Revisions(read(&node.config).revisions())
             }
+            Frame::Objects(feed, transfer) => {
+                gossip::receive_supply(node, &peer.node, feed, transfer);
+                Frame::Done
+            }
             Frame::PullMore => next_chunk(&mut lock(&node.peers.outgoing_transfers), &peer.node),
             Frame::Fence { attempt, start_by } => {
                 let status = node.guard.fence(attempt, start_by, node.now());
--- a/crates/zinniacross/tests/common/mod.rs
+++ b/crates/zinniacross/tests/common/mod.rs
@@ -167,6 +167,11 @@
         self.nodes[index] = self.start_process(index);
     }
 
+    /// Takes the seeds out of the settings that a node gets when it starts again.
+    pub fn forget_seeds(&mut self, index: usize) {
+        self.options[index].seeds.clear();
+    }
+
     /// Starts a node that has ended again, at the same addresses.
     pub fn start_again(&mut self, index: usize) {
         let binary = Path::new(env!("CARGO_BIN_EXE_zinniacross"));
--- a/crates/zinniacross/tests/keys.rs
+++ b/crates/zinniacross/tests/keys.rs
@@ -181,3 +181,20 @@
     assert!(served_after.is_some(), "the valid key is not served");
     assert_eq!(seen.last(), Some(&1003));
 }
+
+/// Guards against a node that has no configuration until the platform is back, because it has started
+/// while the platform is away and its settings name no other node.
+#[test]
+fn restarted_node_without_platform_and_seeds_serves() {
+    let (mut fleet, key) = fleet();
+    fleet.wait_served("/orders/ready", Some(&key));
+    fleet.kill(2);
+    fleet.platform.set_faults(standins::platform::Faults { down: true, ..Default::default() });
+    fleet.forget_seeds(2);
+    fleet.restart(2);
+    let serves = || {
+        let answer = fleet.caller(2).get("/orders/again", Some(&key));
+        answer.is_ok_and(|answer| answer.status == 200)
+    };
+    assert!(wait_until(seconds(10), serves), "{}", fleet.log(2));
+}
