Cut a streamed body at the deadline of its call

Callers that did not read a long answer held slots without any limit.

Cause: a body could be streamed until 30 s after the deadline of its call, and the timer was only looked at while the receiver read and the upstream sent nothing.

Ruled out: a longer time for bodies of known length, as a length can be one that is never reached.

Why this works: the guard forwards a long body in a task that ends at the deadline, closes the connection to the upstream and frees the slot, whether or not the body is read. The entry does the same for the links to other nodes.

--- a/crates/node/src/upstream_call.rs
+++ b/crates/node/src/upstream_call.rs
@@ -154,11 +154,6 @@
 /// take 50 to 300 ms.
 const HANG_THRESHOLD: Duration = Duration::from_millis(900);
 
-/// Time after the deadline of a call for which a response whose head arrived in time may still be
-/// streamed. A large response on a slow link is useful when it is late, but bytes that never end must
-/// not occupy a slot for good.
-const MAX_LATE_BODY_TIME: Duration = Duration::from_secs(30);
-
 /// Checks that a response belongs to the request, was produced by the upstream itself and is valid.
 ///
 /// Nothing in a response is evidence before its identity is known: it may be a second copy of the
@@ -255,17 +250,9 @@
 ) -> CallReply {
     let took = node.now().since(started);
     let UpstreamAnswer { status, headers, body, .. } = answer;
-    // The slot stays in use until the whole response has been read from the upstream.
-    let body = match body {
-        Payload::Full(bytes) => {
-            drop(active);
-            Payload::Full(bytes)
-        }
-        rest => {
-            let body_deadline = node.clock.to_instant(call.start_by + MAX_LATE_BODY_TIME);
-            rest.cut_at(body_deadline).hold(Box::new(active))
-        }
-    };
+    // The slot stays in use until the whole response has been read from the upstream. A body without
+    // end, or one that its caller does not read, must not hold it longer than any other call.
+    let body = body.relay_until(node.clock.to_instant(call.start_by), Box::new(active));
     let load = node.guard.load(&call.endpoint).or_else(|| removed_endpoint_load(call));
     let Some(load) = load else {
         warn!("endpoint {} was removed before its response was forwarded", call.endpoint);
--- a/crates/payload/src/lib.rs
+++ b/crates/payload/src/lib.rs
@@ -15,7 +15,7 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use tokio::sync::mpsc;
-use tokio::time::{Instant, Sleep, sleep_until};
+use tokio::time::{Instant, timeout_at};
 
 /// Capacity of the channel between sender and receiver, in chunks. It is small, so that a slow
 /// receiver causes backpressure instead of filling memory.
@@ -130,8 +130,6 @@
     Chained(Bytes, Box<Payload>),
     /// A body with a value that is dropped when the body ends.
     Guarded(Box<Payload>, DropGuard),
-    /// A body that is cut when the timer expires.
-    Timed(Box<Payload>, Pin<Box<Sleep>>),
 }
 
 impl fmt::Debug for Payload {
@@ -177,11 +175,18 @@
         payload
     }
 
-    /// Ends a streamed body with [`BodyCut::DeadlinePassed`] if it is not complete at `deadline`.
-    pub fn cut_at(self, deadline: Instant) -> Payload {
+    /// Ends a streamed body with [`BodyCut::DeadlinePassed`] if it is not complete at `deadline`, and drops
+    /// `guard` when the body has been received, is cut or is dropped. For a buffered body, drops it
+    /// immediately. A task of its own forwards the body, so that the deadline holds also while the
+    /// receiver does not read.
+    pub fn relay_until(self, deadline: Instant, guard: DropGuard) -> Payload {
         match self {
             Payload::Full(_) => self,
-            rest => Payload::Timed(Box::new(rest), Box::pin(sleep_until(deadline))),
+            rest => {
+                let (tx, payload) = Payload::channel();
+                tokio::spawn(relay(rest, deadline, guard, tx));
+                payload
+            }
         }
     }
 
@@ -224,18 +229,6 @@
                 }
                 next
             }
-            Payload::Timed(rest, timer) => {
-                let next = match rest.poll_next(cx) {
-                    Poll::Pending => {
-                        timer.as_mut().poll(cx).map(|()| Some(Err(BodyCut::DeadlinePassed)))
-                    }
-                    next => next,
-                };
-                if matches!(next, Poll::Ready(None | Some(Err(_)))) {
-                    *self = Payload::empty();
-                }
-                next
-            }
             Payload::Stream(receiver) => {
                 let Poll::Ready(item) = receiver.rx.poll_recv(cx) else { return Poll::Pending };
                 match item {
@@ -279,6 +272,43 @@
     }
 }
 
+/// Forwards a body until `deadline`. The body and `guard` are dropped before the receiver is told how the
+/// body ended, for which it may have to read first.
+async fn relay(mut body: Payload, deadline: Instant, guard: DropGuard, tx: PayloadSender) {
+    let end = timeout_at(deadline, relay_chunks(&mut body, &tx)).await;
+    drop((body, guard));
+    match end {
+        Ok(RelayEnd::Complete) => tx.finish().await,
+        Ok(RelayEnd::Cut(cut)) => tx.cut(cut).await,
+        Ok(RelayEnd::ReceiverDropped) => {}
+        Err(_) => tx.cut(BodyCut::DeadlinePassed).await,
+    }
+}
+
+enum RelayEnd {
+    Complete,
+    Cut(BodyCut),
+    ReceiverDropped,
+}
+
+async fn relay_chunks(body: &mut Payload, tx: &PayloadSender) -> RelayEnd {
+    loop {
+        let next = tokio::select! {
+            next = body.next() => next,
+            () = tx.closed() => return RelayEnd::ReceiverDropped,
+        };
+        match next {
+            None => return RelayEnd::Complete,
+            Some(Err(cut)) => return RelayEnd::Cut(cut),
+            Some(Ok(chunk)) => {
+                if tx.send(chunk).await.is_err() {
+                    return RelayEnd::ReceiverDropped;
+                }
+            }
+        }
+    }
+}
+
 async fn forward_body(mut incoming: Incoming, limits: BodyLimits, tx: PayloadSender) {
     let mut received_bytes = 0;
     loop {
--- a/crates/peer/src/call_link.rs
+++ b/crates/peer/src/call_link.rs
@@ -8,7 +8,7 @@
 use config::Revisions;
 use model::{AttemptId, Incarnation, ResultCode, Time};
 use payload::{BodyCut, Payload, PayloadSender};
-use tokio::time::{Instant, sleep_until, timeout};
+use tokio::time::{Instant, sleep_until, timeout, timeout_at};
 use wire::{BodyPart, Call, EndpointLoad, Frame, Header, MAX_CHUNK_BYTES, Purpose};
 
 use crate::handshake::{Identity, dial};
@@ -158,7 +158,7 @@
     /// `start_by` in `call` is replaced by `deadline`, converted to the time of that node. If
     /// nothing is received for some time, not even a pong, `on_silence` decides what to do; it is
     /// called at most once. Dropping the future closes the link, which cancels the attempt at the
-    /// receiver.
+    /// receiver. The body of the answer is cut if it is not complete at `deadline`.
     pub async fn call<F: Future<Output = SilenceAction>>(
         &self,
         addr: SocketAddr,
@@ -167,6 +167,7 @@
         mut body: Payload,
         on_silence: impl FnOnce(SentAttempt) -> F,
     ) -> Result<CallAnswer, CallError> {
+        let body_deadline = Instant::now() + deadline.since(self.identity.clock.now());
         let mut dialed = self.link(addr).await.map_err(CallError::NotSent)?;
         call.start_by = dialed.to_peer_time(deadline);
         call.queue_until = dialed.to_peer_time(call.queue_until);
@@ -192,9 +193,11 @@
                     let Received::Frame(frame) = incoming.map_err(|_| lost())? else { continue };
                     match first_reply(*frame, sent)? {
                         Reply::Answer(answer, last) => {
-                            let answer =
-                                self.stream_answer(addr, dialed, sent, answer, last, body_sent);
-                            return Ok(answer);
+                            let stream = AnswerStream { addr, dialed, sent, body_sent };
+                            return Ok(match last {
+                                true => self.complete_answer(stream, answer),
+                                false => self.stream_answer(stream, answer, body_deadline),
+                            });
                         }
                         Reply::Ended(err) => {
                             if body_sent {
@@ -258,21 +261,21 @@
         }
     }
 
+    /// Returns an answer whose body has arrived with its head.
+    fn complete_answer(&self, stream: AnswerStream, answer: CallAnswer) -> CallAnswer {
+        if stream.body_sent {
+            self.release(stream.addr, stream.dialed);
+        }
+        answer
+    }
+
+    /// Returns an answer whose body is received in a task of its own, until `deadline`.
     fn stream_answer(
         &self,
-        addr: SocketAddr,
-        dialed: DialedLink,
-        sent: SentAttempt,
+        stream: AnswerStream,
         mut answer: CallAnswer,
-        last: bool,
-        body_sent: bool,
+        deadline: Instant,
     ) -> CallAnswer {
-        if last {
-            if body_sent {
-                self.release(addr, dialed);
-            }
-            return answer;
-        }
         let (tx, rest) = Payload::channel();
         let Payload::Full(first) = std::mem::replace(&mut answer.body, Payload::empty()) else {
             unreachable!("the first part of an answer is in memory");
@@ -280,15 +283,24 @@
         answer.body = Payload::Chained(first, Box::new(rest));
         let pool = self.clone();
         tokio::spawn(async move {
-            let mut dialed = dialed;
-            match receive_body(&mut dialed.link, sent.attempt, &tx).await {
+            let AnswerStream { addr, mut dialed, sent, body_sent } = stream;
+            let received = receive_body(&mut dialed.link, sent.attempt, &tx);
+            match timeout_at(deadline, received).await.unwrap_or(BodyEnd::DeadlinePassed) {
                 BodyEnd::Complete => {
                     if body_sent {
                         pool.release(addr, dialed);
                     }
                     tx.finish().await;
                 }
-                BodyEnd::Truncated => tx.cut(BodyCut::SenderLost).await,
+                BodyEnd::Truncated => {
+                    drop(dialed);
+                    tx.cut(BodyCut::SenderLost).await;
+                }
+                BodyEnd::DeadlinePassed => {
+                    // The receiver may not read, and the endpoint must not wait for it.
+                    drop(dialed);
+                    tx.cut(BodyCut::DeadlinePassed).await;
+                }
                 BodyEnd::ReceiverDropped => {}
             }
         });
@@ -445,10 +457,20 @@
     }
 }
 
+/// An answer that is being received, and the link it comes from.
+struct AnswerStream {
+    addr: SocketAddr,
+    dialed: DialedLink,
+    sent: SentAttempt,
+    /// Whether the whole request body has been sent, so that the link can be used again.
+    body_sent: bool,
+}
+
 /// How the body of an answer ended.
 enum BodyEnd {
     Complete,
     Truncated,
+    DeadlinePassed,
     ReceiverDropped,
 }
 
