Log how long ago the configuration was known to be the newest

Logs and metrics only. A refused request names the revision by which it was judged, but not whether the node could know of a newer one, which tells apart the hypotheses in docs/incidents/late-configuration.md.

--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -92,6 +92,7 @@
         target: &str,
     ) -> RequestTrace {
         let path = target.split('?').next().unwrap_or_default();
+        let (revisions, started) = (read(&node.config).revisions(), node.now());
         let record = RequestRecord {
             id,
             method: method.into(),
@@ -99,12 +100,13 @@
             path: path.into(),
             route: None,
             account: None,
-            revisions: read(&node.config).revisions(),
+            revisions,
+            config_age: node.platform.config_age(revisions.imported, started),
             attempts: Vec::new(),
             end: RequestEnd::CallerGone,
             duration: Duration::ZERO,
         };
-        RequestTrace { node: Arc::clone(node), record, started: node.now() }
+        RequestTrace { node: Arc::clone(node), record, started }
     }
 
     /// Sets how the request ended; dropping the trace publishes the record.
--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -190,8 +190,15 @@
         let since = read(&node.config).replica(feed).revision();
         let mut next = Some(Frame::Pull(feed, since));
         while let Some(frame) = next {
-            let Ok(reply) = from.control.request(frame).await else { return };
-            next = receive_chunk(node, &from.name, feed, reply.frame);
+            match from.control.request(frame).await {
+                Ok(reply) => next = receive_chunk(node, &from.name, feed, reply.frame),
+                Err(err) => {
+                    return info!(
+                        "pulling the {feed:?} feed from node {} failed: {err}",
+                        from.name
+                    );
+                }
+            }
         }
     }
 }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -27,6 +27,7 @@
     pub(crate) request_seconds: Histogram,
     pub(crate) objects_revision: Gauge,
     pub(crate) imported_revision: Gauge,
+    pub(crate) imported_age_ms: Gauge,
     pub(crate) members: Gauge,
     pub(crate) members_unreachable: Gauge,
     pub(crate) platform_reachable: Gauge,
@@ -47,6 +48,7 @@
             request_seconds: Histogram::new(exponential_buckets(0.001, 2.0, 14)),
             objects_revision: Gauge::default(),
             imported_revision: Gauge::default(),
+            imported_age_ms: Gauge::default(),
             members: Gauge::default(),
             members_unreachable: Gauge::default(),
             platform_reachable: Gauge::default(),
@@ -85,6 +87,11 @@
             "Revision of the imported configuration",
             self.imported_revision.clone(),
         );
+        r.register(
+            "imported_age_ms",
+            "Milliseconds since the imported configuration was known to be the newest; -1 if unknown",
+            self.imported_age_ms.clone(),
+        );
         r.register("members", "Other nodes of the fleet", self.members.clone());
         r.register(
             "members_unreachable",
--- a/crates/node/src/platform_link.rs
+++ b/crates/node/src/platform_link.rs
@@ -1,14 +1,18 @@
 //! Reachability of the platform, and the delays of calls to it after failures.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use config::Freshness;
 use log::{info, warn};
+use model::{Revision, Time};
 use rand::RngExt;
 use store::StoreError;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
+use crate::shared::lock;
+
 /// Longest first delay before a failed call to the platform is retried.
 const FIRST_RETRY_DELAY: Duration = Duration::from_millis(400);
 
@@ -25,6 +29,7 @@
 pub(crate) struct PlatformLink {
     reachable: Arc<watch::Sender<bool>>,
     loaded: Arc<watch::Sender<bool>>,
+    freshness: Arc<Mutex<Freshness>>,
 }
 
 impl PlatformLink {
@@ -33,6 +38,7 @@
         PlatformLink {
             reachable: Arc::new(watch::Sender::new(false)),
             loaded: Arc::new(watch::Sender::new(false)),
+            freshness: Arc::default(),
         }
     }
 
@@ -55,6 +61,16 @@
         }
     }
 
+    /// Records that `revision` was the newest one of the imported configuration at the time `at`.
+    pub(crate) fn confirm_config(&self, revision: Revision, at: Time) {
+        lock(&self.freshness).confirm(revision, at);
+    }
+
+    /// Time since `own` was known to be the newest revision of the imported configuration.
+    pub(crate) fn config_age(&self, own: Revision, now: Time) -> Option<Duration> {
+        lock(&self.freshness).age(own, now)
+    }
+
     /// Records that the configuration and the stored objects have been received, from the platform or
     /// from a peer.
     pub(crate) fn record_loaded(&self) {
--- a/crates/node/src/records.rs
+++ b/crates/node/src/records.rs
@@ -64,6 +64,8 @@
     pub(crate) account: Option<AccountName>,
     /// Configuration revisions that the request was handled with.
     pub(crate) revisions: Revisions,
+    /// Time since the imported configuration was known to be the newest one, if it is still.
+    pub(crate) config_age: Option<Duration>,
     pub(crate) attempts: Vec<AttemptRecord>,
     pub(crate) end: RequestEnd,
     pub(crate) duration: Duration,
@@ -86,6 +88,7 @@
             "route": self.route.as_ref().map(RouteName::as_str),
             "account": self.account.as_ref().map(AccountName::as_str),
             "config": self.revisions.to_string(),
+            "config_age_ms": self.config_age.map(|age| age.as_millis() as u64),
             "attempts": &self.attempts,
             "status": status,
             "code": code,
--- a/crates/node/src/sync.rs
+++ b/crates/node/src/sync.rs
@@ -7,7 +7,7 @@
 use config::{Applied, Feed, Replica};
 use log::{info, warn};
 use membership::{READER_PERIOD, is_reader};
-use model::{EndpointName, Kind, Revision};
+use model::{EndpointName, Kind, Revision, Time};
 use rand::RngExt;
 use store::StoreError;
 use tokio::task::spawn_blocking;
@@ -171,10 +171,13 @@
             false => Duration::ZERO,
         };
         let source = Arc::clone(&source);
+        let asked_at = node.now();
         match run_blocking(move || source.wait_for_newer(since, wait)).await {
             Ok(newer) => {
                 retries.reset();
                 node.platform.record_success();
+                let confirmed = newer.as_ref().map_or(since, |listing| listing.revision);
+                node.platform.confirm_config(confirmed, confirmed_at(&node, asked_at, wait));
                 if let Some(listing) = newer {
                     let applied = {
                         let mut config = write(&node.config);
@@ -202,6 +205,13 @@
     }
 }
 
+/// Time at which the store had nothing newer than what it returned to a watch. A watch that ended
+/// with its wait time looked at the store at the end of it.
+fn confirmed_at(node: &Node, asked_at: Time, wait: Duration) -> Time {
+    let end = asked_at + wait;
+    if node.now() >= end { end } else { asked_at }
+}
+
 /// A random delay between a change and the next watch.
 fn rewatch_delay(node: &Node) -> Duration {
     let [min, max] = match node.interfaces.config_source {
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -53,6 +53,9 @@
         metrics.members_unreachable.set(unreachable as i64);
         let is_reachable = node.platform.is_reachable();
         metrics.platform_reachable.set(i64::from(is_reachable));
+        let imported = read(&node.config).imported.revision();
+        let age = node.platform.config_age(imported, now);
+        metrics.imported_age_ms.set(age.map_or(-1, |age| age.as_millis() as i64));
         metrics.endpoints_known.set(node.loads.len() as i64);
         metrics.entries_skipped.set(node.skipped_entries() as i64);
         node.loads.remove_stale(now);
