--- a/crates/standins/src/cut.rs
+++ b/crates/standins/src/cut.rs
@@ -3,9 +3,10 @@
 //! It stands before one listener, for example as the advertised address of a node. The links of one
 //! node can be cut on their own, because the proxy reads the name of the dialing node from its
 //! `Hello`. A connection that has lost bytes stays cut after the link is healed, so that no peer
-//! ever sees a stream with a gap.
+//! ever sees a stream with a gap. All open connections can be silenced for good, while new ones work.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -50,6 +51,8 @@
 pub struct CutProxy {
     addr: SocketAddr,
     cuts: Cuts,
+    /// Number of times that all open connections were silenced.
+    silenced: Arc<AtomicU64>,
     task: JoinHandle<()>,
 }
 
@@ -59,8 +62,9 @@
         let listener = TcpListener::bind(listen).await?;
         let addr = listener.local_addr()?;
         let cuts = Cuts::default();
-        let task = tokio::spawn(accept(listener, target, Arc::clone(&cuts)));
-        Ok(CutProxy { addr, cuts, task })
+        let silenced = Arc::<AtomicU64>::default();
+        let task = tokio::spawn(accept(listener, target, Arc::clone(&cuts), Arc::clone(&silenced)));
+        Ok(CutProxy { addr, cuts, silenced, task })
     }
 
     /// Where it listens.
@@ -73,6 +77,12 @@
         lock(&self.cuts).push((links, direction));
     }
 
+    /// Swallows all bytes of the connections that are open now, for good and without a reset. New
+    /// connections work.
+    pub fn silence(&self) {
+        self.silenced.fetch_add(1, Ordering::Relaxed);
+    }
+
     /// Ends all cuts.
     pub fn heal(&self) {
         lock(&self.cuts).clear();
@@ -89,17 +99,23 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-async fn accept(listener: TcpListener, target: SocketAddr, cuts: Cuts) {
+async fn accept(listener: TcpListener, target: SocketAddr, cuts: Cuts, silenced: Arc<AtomicU64>) {
     while let Ok((dialer, _)) = listener.accept().await {
-        let cuts = Arc::clone(&cuts);
+        let (cuts, silenced) = (Arc::clone(&cuts), Arc::clone(&silenced));
+        let opened_at = silenced.load(Ordering::Relaxed);
         tokio::spawn(async move {
             let Ok(peer) = TcpStream::connect(target).await else { return };
             let _ = (dialer.set_nodelay(true), peer.set_nodelay(true));
             let (from_dialer, to_dialer) = dialer.into_split();
             let (from_listener, to_listener) = peer.into_split();
             let name = Arc::new(Mutex::new(Dialer::default()));
-            let link =
-                |direction| Link { cuts: Arc::clone(&cuts), name: Arc::clone(&name), direction };
+            let link = |direction| Link {
+                cuts: Arc::clone(&cuts),
+                silenced: Arc::clone(&silenced),
+                opened_at,
+                name: Arc::clone(&name),
+                direction,
+            };
             tokio::spawn(pump(from_dialer, to_listener, link(Direction::ToListener)));
             pump(from_listener, to_dialer, link(Direction::ToDialer)).await;
         });
@@ -124,12 +140,18 @@
 
 struct Link {
     cuts: Cuts,
+    silenced: Arc<AtomicU64>,
+    /// Value of `silenced` when the connection was accepted.
+    opened_at: u64,
     name: Arc<Mutex<Dialer>>,
     direction: Direction,
 }
 
 impl Link {
     fn is_cut(&self) -> bool {
+        if self.silenced.load(Ordering::Relaxed) > self.opened_at {
+            return true;
+        }
         let dialer = lock(&self.name);
         lock(&self.cuts).iter().any(|(links, direction)| {
             let concerned = match links {
--- /dev/null
+++ b/crates/zinniacross/tests/common/imported.rs
@@ -0,0 +1,132 @@
+//! A fleet of node processes that take their configuration from the users' platform. Proxies stand
+//! before the platform and before the peer address of each node.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use standins::cut::CutProxy;
+use standins::platform::{PlatformConfig, PlatformStandin};
+use standins::process::{NodeOptions, NodeProcess, Signal, TempDir, free_addrs, wait_until};
+use tokio::runtime::Runtime;
+
+const LOCAL: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
+
+/// Time for what nodes do by themselves, on a machine that also builds.
+pub const SOON: Duration = Duration::from_secs(40);
+
+/// Metric with the revision of the configuration.
+const CONFIG_REVISION: &str = "imported_revision";
+
+pub struct ImportedFleet {
+    pub platform: PlatformStandin,
+    pub nodes: Vec<NodeProcess>,
+    metrics: Vec<SocketAddr>,
+    to_platform: Vec<CutProxy>,
+    links: Vec<CutProxy>,
+    rt: Runtime,
+    dir: TempDir,
+}
+
+impl ImportedFleet {
+    /// Starts `count` nodes in one failure domain, and waits until they know each other.
+    pub fn start(count: usize) -> ImportedFleet {
+        let platform = PlatformStandin::start(LOCAL, PlatformConfig::default()).unwrap();
+        let rt = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(2)
+            .enable_all()
+            .build()
+            .unwrap();
+        let mut fleet = ImportedFleet {
+            platform,
+            nodes: Vec::new(),
+            metrics: Vec::new(),
+            to_platform: Vec::new(),
+            links: Vec::new(),
+            rt,
+            dir: TempDir::new("imported").unwrap(),
+        };
+        fleet.create("config", "main", r#"{"routes":[]}"#);
+        for index in 0..count {
+            fleet.add_node(index);
+        }
+        let others = (count - 1) as u64;
+        let all_known = || (0..count).all(|node| fleet.metric(node, "members") == others);
+        assert!(wait_until(SOON, all_known), "the nodes know each other");
+        fleet
+    }
+
+    fn add_node(&mut self, index: usize) {
+        let [peer, metrics] = free_addrs().unwrap();
+        let link = self.rt.block_on(CutProxy::start(LOCAL, peer)).unwrap();
+        let to_platform = self.rt.block_on(CutProxy::start(LOCAL, self.platform.addr())).unwrap();
+        let options = NodeOptions {
+            name: format!("node-{index}"),
+            domain: "mid-a".into(),
+            platform: format!("http://{}\ninterface = platform", to_platform.addr()),
+            advertise: Some(link.addr()),
+            peer: Some(peer),
+            seeds: Vec::new(),
+            extra: format!("[status]\nmetrics = {metrics}\n"),
+        };
+        let binary = Path::new(env!("CARGO_BIN_EXE_zinniacross"));
+        self.nodes.push(NodeProcess::start(binary, self.dir.path(), &options).unwrap());
+        self.metrics.push(metrics);
+        self.to_platform.push(to_platform);
+        self.links.push(link);
+    }
+
+    /// Creates an object in the store.
+    pub fn create(&self, kind: &str, name: &str, spec: &str) {
+        let body = format!(r#"{{"meta":{{"name":"{name}"}},"spec":{spec}}}"#);
+        let url = format!("{}/api/objects/{kind}", self.platform.url());
+        ureq::post(&url).header("content-type", "application/json").send(body).unwrap();
+    }
+
+    /// Replaces the configuration, and returns the time until the given nodes have it.
+    pub fn spread_config(&self, number: usize, nodes: &[usize]) -> Duration {
+        let body =
+            format!(r#"{{"meta":{{"name":"main"}},"spec":{{"version":{number},"routes":[]}}}}"#);
+        let url = format!("{}/api/objects/config/main", self.platform.url());
+        self.time_until_known(CONFIG_REVISION, nodes, || {
+            ureq::put(&url).header("content-type", "application/json").send(&body).unwrap();
+        })
+    }
+
+    /// Makes a change, and returns the time until the metric of a revision has risen at the given
+    /// nodes.
+    pub fn time_until_known(
+        &self,
+        revision: &str,
+        nodes: &[usize],
+        change: impl FnOnce(),
+    ) -> Duration {
+        let before = nodes.iter().map(|node| self.metric(*node, revision)).max().unwrap();
+        change();
+        let started = Instant::now();
+        let all = || nodes.iter().all(|node| self.metric(*node, revision) > before);
+        assert!(wait_until(SOON, all), "the change reaches all nodes");
+        started.elapsed()
+    }
+
+    /// Sends a signal to all nodes but one.
+    pub fn signal_others(&self, spared: usize, signal: Signal) {
+        let others = self.nodes.iter().enumerate().filter(|(index, _)| *index != spared);
+        others.for_each(|(_, node)| node.process.signal(signal).unwrap());
+    }
+
+    /// Silences all open connections to the platform and between the nodes. New ones work.
+    pub fn silence_connections(&self) {
+        self.to_platform.iter().chain(&self.links).for_each(CutProxy::silence);
+    }
+
+    /// Value of a metric of a node, or 0 if the node has none yet.
+    pub fn metric(&self, node: usize, name: &str) -> u64 {
+        let url = format!("http://{}/metrics", self.metrics[node]);
+        let Ok(mut answer) = ureq::get(url).call() else { return 0 };
+        let text = answer.body_mut().read_to_string().unwrap();
+        let value =
+            text.lines().find_map(|line| line.strip_prefix(&format!("zinniacross_{name} ")));
+        value.and_then(|value| value.parse().ok()).unwrap_or(0)
+    }
+}
--- a/crates/zinniacross/tests/common/mod.rs
+++ b/crates/zinniacross/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 pub mod caller;
+pub mod imported;
 pub mod site;
 
 use std::net::SocketAddr;
