--- a/crates/node/src/platform_link.rs
+++ b/crates/node/src/platform_link.rs
@@ -118,13 +118,13 @@
     }
 
     /// Waits for the next delay of `retries`, or, if the platform is unreachable, until another task has
-    /// reached it.
+    /// reached it, for the longest delay at most.
     pub(crate) async fn wait_for_recovery(&self, retries: &mut Retries) {
-        let delay = retries.next_delay(MAX_RETRY_DELAY);
         if self.is_reachable() {
-            return sleep(delay).await;
+            return sleep(retries.next_delay(MAX_RETRY_DELAY)).await;
         }
         let mut reachable = self.reachable.subscribe();
+        let delay = random_up_to(MAX_RETRY_DELAY);
         let _ = timeout(delay, reachable.wait_for(|reachable| *reachable)).await;
     }
 }
@@ -150,6 +150,11 @@
     fn next_delay(&mut self, max: Duration) -> Duration {
         let longest = FIRST_RETRY_DELAY.saturating_mul(1 << self.failures.min(8)).min(max);
         self.failures = self.failures.saturating_add(1);
-        rand::rng().random_range(longest / 2..=longest)
+        random_up_to(longest)
     }
 }
+
+/// A random delay of at least half of `longest`.
+fn random_up_to(longest: Duration) -> Duration {
+    rand::rng().random_range(longest / 2..=longest)
+}
