Let only a newer imported configuration refuse what an entry allows

A guard refuses with 1026 what its newer configuration does not allow. It counted as newer if either feed was, so a guard with newer node records and an older imported configuration refused the requests of a route that had just been added, though the entry rightly allowed them: the caller got 503. Node records change all the time; the window is the time in which the guard lacks the configuration.

The imported feed decides first now, as its objects take precedence, and the objects only between equal imported revisions. Shown by property tests of the rule (the first fails with the old rule); not reproduced through processes, since the first call makes the guard pull what it lacks.

--- a/crates/config/src/configuration.rs
+++ b/crates/config/src/configuration.rs
@@ -37,6 +37,25 @@
         self.objects > other.objects || self.imported > other.imported
     }
 
+    /// Returns whether what a configuration at `other` allows may rightly be refused by one at `self`
+    /// that does not allow it. The imported feed decides first, since its objects take precedence: a
+    /// node may have newer node records and still lack a route that was added to the imported feed.
+    ///
+    /// ```
+    /// use config::Revisions;
+    /// use model::Revision;
+    ///
+    /// let revisions = |objects, imported| Revisions {
+    ///     objects: Revision(objects),
+    ///     imported: Revision(imported),
+    /// };
+    /// assert!(revisions(7, 5).supersedes(revisions(7, 4)));
+    /// assert!(!revisions(9, 4).supersedes(revisions(7, 5)));
+    /// ```
+    pub fn supersedes(self, other: Revisions) -> bool {
+        (self.imported, self.objects) > (other.imported, other.objects)
+    }
+
     /// Returns the revision of a feed.
     pub fn of(self, feed: Feed) -> Revision {
         match feed {
--- /dev/null
+++ b/crates/config/tests/configuration.rs
@@ -0,0 +1,31 @@
+//! Which of two configurations decides.
+
+use config::Revisions;
+use model::Revision;
+use proptest::prelude::*;
+
+fn revisions() -> impl Strategy<Value = Revisions> {
+    (0_u64..4, 0_u64..4).prop_map(|(objects, imported)| Revisions {
+        objects: Revision(objects),
+        imported: Revision(imported),
+    })
+}
+
+proptest! {
+    /// Guards against a guard that refuses the requests of a route that was just added, because its node
+    /// records are newer than those of the entry while its imported configuration is older.
+    #[test]
+    fn an_older_imported_configuration_supersedes_nothing(a in revisions(), b in revisions()) {
+        if a.imported < b.imported {
+            prop_assert!(!a.supersedes(b));
+        }
+    }
+
+    /// Guards against a withdrawn key or route that the guard lets pass although it knows better.
+    #[test]
+    fn a_newer_imported_configuration_supersedes_all_older_ones(a in revisions(), b in revisions()) {
+        if a.imported > b.imported || (a.imported == b.imported && a.objects > b.objects) {
+            prop_assert!(a.supersedes(b));
+        }
+    }
+}
--- a/crates/node/src/guard.rs
+++ b/crates/node/src/guard.rs
@@ -257,7 +257,7 @@
     /// configuration is older must not refuse what the entry node rightly allows.
     fn refusal(&self, attempt: &Attempt, credentials: &Credentials) -> Option<ResultCode> {
         let config = read(&self.node.config);
-        if !config.revisions().is_ahead_of(credentials.revisions) {
+        if !config.revisions().supersedes(credentials.revisions) {
             return None;
         }
         let superseded = Some(ResultCode::Superseded);
