--- a/crates/zinniacross/tests/late_configuration.rs
+++ b/crates/zinniacross/tests/late_configuration.rs
@@ -47,3 +47,20 @@
         assert!(took < CONFIG_WITHIN, "round {round}: in force after {took:?}");
     }
 }
+
+/// Guards against a watch that has fallen silent and is trusted for so long that a version of the next
+/// second is late. All nodes of a small failure domain wait at the platform.
+#[test]
+fn a_version_of_the_second_after_a_silence_is_in_time() {
+    const NODES: usize = 3;
+    let all: Vec<usize> = (0..NODES).collect();
+    let fleet = ImportedFleet::start(NODES);
+    for round in 0..6 {
+        thread::sleep(seconds(1));
+        fleet.silence_connections();
+        thread::sleep(CONTACT - CONFIG_WITHIN);
+        let took = fleet.spread_config(round + 1, &all);
+        println!("round {round}: in force after {took:?}");
+        assert!(took < CONFIG_WITHIN, "round {round}: in force after {took:?}");
+    }
+}
