Ask nodes of an earlier version by the frame that they know

A node of an earlier version closes the control link on a Compare frame, and with it the fences and token requests that wait on the link, each 0.8 s for as long as both versions run beside each other. The node now remembers the process that did so and asks it by the earlier frame; a kept link that ended for another reason is dialed once more first, so that a restarted peer is not taken for one.

--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -133,11 +133,11 @@
     }
 }
 
-/// What this node has of the configuration, for a peer.
-pub(crate) fn own_config(node: &Node) -> Frame {
+/// The revisions of this node, and how long ago its imported configuration was known to be the newest
+/// one.
+pub(crate) fn own_config(node: &Node) -> (Revisions, Option<Duration>) {
     let revisions = read(&node.config).revisions();
-    let confirmed_ago = node.platform.config_age(revisions.imported, node.now());
-    Frame::Compare { revisions, confirmed_ago }
+    (revisions, node.platform.config_age(revisions.imported, node.now()))
 }
 
 /// Tells a few peers of a later confirmation of the configuration. A newer revision is announced once
@@ -170,15 +170,8 @@
 
 /// Asks a peer for its revisions. Returns `None` if it replied something else.
 async fn request_revisions(node: &Node, peer: &Peer) -> Result<Option<PeerConfig>, LinkError> {
-    let reply = match peer.control.request(own_config(node)).await {
-        // A node of an earlier version closes the link on a frame that it doesn't know.
-        Err(LinkError::Closed) => {
-            let revisions = read(&node.config).revisions();
-            peer.control.request(Frame::Revisions(revisions)).await?
-        }
-        reply => reply?,
-    };
-    Ok(match reply.frame {
+    let (own, confirmed_ago) = own_config(node);
+    Ok(match peer.compare(own, confirmed_ago).await? {
         Frame::Compare { revisions, confirmed_ago } => {
             Some(PeerConfig { revisions, confirmed_ago })
         }
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -10,9 +10,9 @@
 use config::{Chunks, Feed, Replica, Revisions, TransferReceiver};
 use log::info;
 use membership::{Owners, displaced_nodes};
-use model::{FailureDomain, NodeName, PartitionId, ResultCode, Revision, Time};
+use model::{FailureDomain, Incarnation, NodeName, PartitionId, ResultCode, Revision, Time};
 use payload::Payload;
-use peer::{ControlClient, PeerHandler, PeerInfo, SentAttempt};
+use peer::{ControlClient, LinkError, PeerHandler, PeerInfo, SentAttempt};
 use routing::FenceResult;
 use wire::{Call, FenceStatus, Frame};
 
@@ -56,6 +56,8 @@
     path: Mutex<PathState>,
     /// Whether this node is sending the configuration to the peer, or will do so.
     is_supplied: AtomicBool,
+    /// The process of the peer if it is of an earlier version, which closes links on [`Frame::Compare`].
+    without_compare: Mutex<Option<Incarnation>>,
 }
 
 /// State of the network path to a peer, as observed by this node's own exchanges.
@@ -154,8 +156,36 @@
     fn new(node: &Node, name: &NodeName, domain: &FailureDomain, addr: SocketAddr) -> Peer {
         let control = ControlClient::start(addr, node.identity.clone());
         let path = Mutex::default();
-        let is_supplied = AtomicBool::new(false);
-        Peer { name: name.clone(), domain: domain.clone(), addr, control, path, is_supplied }
+        let (is_supplied, without_compare) = (AtomicBool::new(false), Mutex::default());
+        let (name, domain) = (name.clone(), domain.clone());
+        Peer { name, domain, addr, control, path, is_supplied, without_compare }
+    }
+
+    /// Asks the peer for its revisions by a frame that also tells how old they are, or by one without
+    /// that if its process is of an earlier version.
+    pub(crate) async fn compare(
+        &self,
+        own: Revisions,
+        confirmed_ago: Option<Duration>,
+    ) -> Result<Frame, LinkError> {
+        let known = *lock(&self.without_compare);
+        if known.is_none() {
+            let frame = Frame::Compare { revisions: own, confirmed_ago };
+            let mut reply = self.control.request(frame.clone()).await;
+            if let Err(LinkError::Closed) = reply {
+                // A kept link may have ended with an earlier process of the peer.
+                reply = self.control.request(frame).await;
+            }
+            match reply {
+                Err(LinkError::Closed) => {}
+                reply => return reply.map(|reply| reply.frame),
+            }
+        }
+        let reply = self.control.request(Frame::Revisions(own)).await?;
+        // A later process is asked by the other frame again.
+        let is_later = known.is_some_and(|process| process != reply.from);
+        *lock(&self.without_compare) = (!is_later).then_some(reply.from);
+        Ok(reply.frame)
     }
 
     /// Claims the task of sending the configuration to the peer. Returns false if it is claimed already.
@@ -260,7 +290,8 @@
             Frame::Compare { revisions, confirmed_ago } => {
                 catch_up_if_behind(node, &peer.node, revisions);
                 gossip::compare_if_older(node, &peer.node, confirmed_ago);
-                gossip::own_config(node)
+                let (revisions, confirmed_ago) = gossip::own_config(node);
+                Frame::Compare { revisions, confirmed_ago }
             }
             Frame::Objects(feed, transfer) => {
                 gossip::receive_supply(node, &peer.node, feed, transfer);
