Test versions after the links between nodes fell silent

The second hypothesis by itself: only the links between twelve nodes fall silent, and the version is written at once.

--- a/crates/zinniacross/tests/common/imported.rs
+++ b/crates/zinniacross/tests/common/imported.rs
@@ -117,7 +117,13 @@
 
     /// Silences all open connections to the platform and between the nodes. New ones work.
     pub fn silence_connections(&self) {
-        self.to_platform.iter().chain(&self.links).for_each(CutProxy::silence);
+        self.to_platform.iter().for_each(CutProxy::silence);
+        self.silence_links();
+    }
+
+    /// Silences all open connections between the nodes. New ones work.
+    pub fn silence_links(&self) {
+        self.links.iter().for_each(CutProxy::silence);
     }
 
     /// Value of a metric of a node, or 0 if the node has none yet.
--- a/crates/zinniacross/tests/late_configuration.rs
+++ b/crates/zinniacross/tests/late_configuration.rs
@@ -64,3 +64,19 @@
         assert!(took < CONFIG_WITHIN, "round {round}: in force after {took:?}");
     }
 }
+
+/// Guards against a node that hears of a version, or would, over links that have fallen silent, and waits
+/// for these although the platform would answer it.
+#[test]
+fn a_version_is_in_time_after_the_links_between_nodes_fell_silent() {
+    const NODES: usize = 12;
+    let all: Vec<usize> = (0..NODES).collect();
+    let fleet = ImportedFleet::start(NODES);
+    for round in 0..5 {
+        thread::sleep(CONTACT);
+        fleet.silence_links();
+        let took = fleet.spread_config(round + 1, &all);
+        println!("round {round}: in force after {took:?}");
+        assert!(took < CONFIG_WITHIN, "round {round}: in force after {took:?}");
+    }
+}
