Empty the buckets of a share that changes its owner

Cause: a node that took over a share began with a bucket that was filled since the start of its process, so each change of owner granted the burst of the share once more, and a stopping node went on granting beside its successor. Ruled out: lost records.

A node now empties the buckets of the partitions in which a node that leaves came before it, and of a partition for which it is asked although it is not the owner as far as it knows. A node that stops grants nothing more.

--- a/crates/limits/src/owner.rs
+++ b/crates/limits/src/owner.rs
@@ -21,13 +21,15 @@
 /// Token buckets of the shares for which this node receives requests.
 ///
 /// A node answers every request, even if it is not the owner of the share in its own view. Buckets
-/// start empty when the node starts and refill from then on. A node that takes over a share
-/// therefore adds at most the burst of the share to what the previous owner has granted, plus what
-/// both grant while entry nodes disagree on the owner.
+/// start empty when the node starts or takes over their partition, and refill from then on. What the
+/// previous owner has granted is therefore not granted again; only what both grant at the rate of the
+/// share, while entry nodes disagree on the owner, is added.
 #[derive(Debug)]
 pub struct Owner {
     /// Time at which all buckets were empty.
     started: Time,
+    /// Time at which this node took over a partition, for those that had another owner since the start.
+    taken_over: HashMap<PartitionId, Time>,
     /// An account has at most one share in a partition.
     partitions: HashMap<PartitionId, HashMap<AccountName, Bucket>>,
     bucket_count: usize,
@@ -37,7 +39,13 @@
 impl Owner {
     /// Creates an owner whose buckets are empty at `started`.
     pub fn new(started: Time) -> Owner {
-        Owner { started, partitions: HashMap::new(), bucket_count: 0, next_sweep: 0 }
+        Owner {
+            started,
+            taken_over: HashMap::new(),
+            partitions: HashMap::new(),
+            bucket_count: 0,
+            next_sweep: 0,
+        }
     }
 
     /// Handles a request. `account` is the current configuration of the account. Returns `None` if
@@ -79,6 +87,27 @@
         Some(TokenAnswer { account: req.account.clone(), sequence: req.sequence, result })
     }
 
+    /// Empties the buckets of a partition that had another owner until `at`.
+    ///
+    /// ```
+    /// use limits::Owner;
+    /// use model::{PartitionId, Time};
+    ///
+    /// let mut owner = Owner::new(Time::ZERO);
+    /// assert!(!owner.has_buckets(PartitionId(7)));
+    /// owner.take_over(PartitionId(7), Time::from_micros(5_000_000));
+    /// ```
+    pub fn take_over(&mut self, partition: PartitionId, at: Time) {
+        self.taken_over.insert(partition, at);
+        let buckets = self.partitions.get_mut(&partition);
+        buckets.into_iter().flat_map(HashMap::values_mut).for_each(|bucket| bucket.empty(at));
+    }
+
+    /// Whether this node has granted tokens of a partition lately.
+    pub fn has_buckets(&self, partition: PartitionId) -> bool {
+        self.partitions.get(&partition).is_some_and(|buckets| !buckets.is_empty())
+    }
+
     /// Drops the full, unused buckets of one partition. Successive calls cycle through all
     /// partitions.
     pub fn remove_stale(&mut self, now: Time) {
@@ -122,8 +151,9 @@
             return TokenResult::Decided { granted: Tokens(0), next_in: GRANT_LIFETIME };
         }
         self.bucket_count += 1;
+        let held_since = self.taken_over.get(&req.partition).copied().unwrap_or(self.started);
         let bucket = buckets.entry(req.account.clone());
-        let bucket = bucket.or_insert_with(|| Bucket::new(now, base, &share, self.started));
+        let bucket = bucket.or_insert_with(|| Bucket::new(now, base, &share, held_since));
         bucket.grant(now, account, req)
     }
 }
@@ -156,7 +186,7 @@
 }
 
 impl Bucket {
-    fn new(now: Time, base: PartitionId, share: &Share, started: Time) -> Bucket {
+    fn new(now: Time, base: PartitionId, share: &Share, held_since: Time) -> Bucket {
         let mut bucket = Bucket {
             share: share.index,
             base,
@@ -164,7 +194,7 @@
             burst_nano: 0,
             level_nano: 0,
             outstanding: 0,
-            refilled_at: started,
+            refilled_at: held_since,
             grants: HashMap::new(),
             expiry: VecDeque::new(),
         };
@@ -179,6 +209,11 @@
         self.level_nano = self.level_nano.min(self.max_level());
     }
 
+    fn empty(&mut self, at: Time) {
+        self.level_nano = 0;
+        self.refilled_at = self.refilled_at.max(at);
+    }
+
     /// Maximum level, given the outstanding tokens.
     fn max_level(&self) -> u64 {
         self.burst_nano.saturating_sub(self.outstanding.saturating_mul(NANOTOKENS_PER_TOKEN))
--- a/crates/limits/tests/cases.rs
+++ b/crates/limits/tests/cases.rs
@@ -120,6 +120,32 @@
     check_granted(&mut new, now, &account, &request(&account, 5, 60, &[]), 3);
 }
 
+/// Guards against the burst of a share that is granted once by each of its owners when nodes restart in
+/// turn, and against one that grants it again when it is the owner again.
+#[test]
+fn a_share_that_changes_its_owner_grants_its_burst_once() {
+    let account = account(60, 60);
+    let partition = request(&account, 1, 1, &[]).partition;
+    let (mut first, mut second) = (owner(), owner());
+    check_granted(&mut first, millis(9_000), &account, &request(&account, 1, 60, &[]), 10);
+    second.take_over(partition, millis(9_000));
+    check_granted(&mut second, millis(9_000), &account, &request(&account, 2, 60, &[]), 0);
+    check_granted(&mut second, millis(9_500), &account, &request(&account, 3, 60, &[]), 5);
+    first.take_over(partition, millis(20_000));
+    check_granted(&mut first, millis(20_000), &account, &request(&account, 4, 60, &[]), 0);
+    check_granted(&mut first, millis(20_300), &account, &request(&account, 5, 60, &[]), 3);
+}
+
+/// Guards against a share whose buckets stay small for good after a change of its owner.
+#[test]
+fn a_share_that_was_taken_over_fills_up() {
+    let account = account(60, 60);
+    let partition = request(&account, 1, 1, &[]).partition;
+    let mut owner = owner();
+    owner.take_over(partition, millis(9_000));
+    check_granted(&mut owner, millis(12_000), &account, &request(&account, 1, 60, &[]), 10);
+}
+
 /// Guards against dropping a bucket before it is full, as it would be created again with a higher
 /// level.
 #[test]
--- a/crates/node/src/limiter.rs
+++ b/crates/node/src/limiter.rs
@@ -5,15 +5,16 @@
 use std::time::Duration;
 
 use limits::{
-    Allowances, AnswerOutcome, Arrival, FallbackBuckets, Owner, TokenAnswer, TokenDecision,
-    TokenRequest, TokenResult,
+    Allowances, AnswerOutcome, Arrival, FallbackBuckets, Owner, PARTITION_COUNT, TokenAnswer,
+    TokenDecision, TokenRequest, TokenResult,
 };
-use model::{Account, AccountName, NodeName, ResultCode, Time};
+use membership::owner_of;
+use model::{Account, AccountName, NodeName, PartitionId, ResultCode, Time};
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout_at};
 use wire::Frame;
 
-use crate::shared::{Node, SharedMap, lock, read};
+use crate::shared::{Node, Phase, SharedMap, lock, read};
 
 /// Maximum interval between two checks for due reports. A call that makes a report due earlier wakes the
 /// loop.
@@ -125,12 +126,30 @@
 
     fn grant(&self, node: &Node, request: &TokenRequest) -> Option<TokenAnswer> {
         let account = read(&node.config).account(request.account.as_str()).cloned();
-        match account {
-            Some(account) => {
-                let mut owner = lock(&self.owner);
-                owner.request(node.now(), account.value(), request)
+        // A node that stops has another owner in its place, which grants to all that know of the stop.
+        let grants = node.phase() == Phase::Serving;
+        let Some(account) = account.filter(|_| grants || request.wanted.0 == 0) else {
+            return (request.wanted.0 > 0).then(|| not_owner_answer(request));
+        };
+        let (now, partition) = (node.now(), request.partition);
+        let is_owner = node.peers.owner(node, partition).is_some_and(|own| own == node.info().node);
+        let mut owner = lock(&self.owner);
+        if !is_owner && !owner.has_buckets(partition) {
+            // The entry has seen a change of the members before this node. The present owner may have
+            // granted the whole burst just now.
+            owner.take_over(partition, now);
+        }
+        owner.request(now, account.value(), request)
+    }
+
+    /// Empties the buckets of the partitions in which this node may follow `left` as the owner.
+    pub(crate) fn take_over_from(&self, node: &Node, left: &NodeName) {
+        let own = &node.info().node;
+        let mut owner = lock(&self.owner);
+        for partition in (0..PARTITION_COUNT).map(PartitionId) {
+            if owner_of(partition, [own, left].into_iter()) == Some(left) {
+                owner.take_over(partition, node.now());
             }
-            None => (request.wanted.0 > 0).then(|| not_owner_answer(request)),
         }
     }
 
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -87,7 +87,7 @@
         let displaced = displaced_members(node, config);
         let mut members = lock(&self.members);
         let known = members.len();
-        let mut is_changed = false;
+        let (mut is_changed, mut left) = (false, Vec::new());
         members.retain(|name, peer| {
             let record = config.node_record(name);
             let record = record.filter(|record| !record.value().stopped);
@@ -95,6 +95,7 @@
             if record.is_none() {
                 info!("node {name} is no longer a member");
                 write(&node.directory).remove_node(name);
+                left.push(name.clone());
             }
             record.is_some_and(|record| record.value().peer_addr == peer.addr)
         });
@@ -118,6 +119,8 @@
         }
         let addrs: Vec<SocketAddr> = members.values().map(|peer| peer.addr).collect();
         node.call_pool.retain(|addr| addrs.contains(addr));
+        drop(members);
+        left.iter().for_each(|name| node.limiter.take_over_from(node, name));
     }
 
     pub(crate) fn find(&self, name: &str) -> Option<Arc<Peer>> {
