--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -1,5 +1,6 @@
 //! Spreads changes from node to node: announces new revisions to peers, compares revisions with them,
-//! and pulls what is missing.
+//! and pulls what is missing. How long ago the platform confirmed the configuration spreads in the same
+//! way.
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -43,8 +44,8 @@
 /// start.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(150);
 
-/// Announces new revisions to a few peers of this node's failure domain, which pull what they lack
-/// and announce it in turn.
+/// Announces new revisions and later confirmations to a few peers of this node's failure domain, which
+/// pull what they lack and announce it in turn.
 pub(crate) async fn announce_changes(node: Arc<Node>) {
     loop {
         node.revisions_changed.notified().await;
--- a/crates/node/src/platform_link.rs
+++ b/crates/node/src/platform_link.rs
@@ -1,4 +1,5 @@
-//! Reachability of the platform, and the delays of calls to it after failures.
+//! Reachability of the platform, the age of what it has confirmed, and the delays of calls to it after
+//! failures.
 
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
