Split the task that follows the configuration

What an answer of the store confirms and how a version is applied are functions of their own. No change of behaviour; the four tests of late_configuration.rs pass.

--- a/crates/node/src/sync.rs
+++ b/crates/node/src/sync.rs
@@ -9,7 +9,7 @@
 use membership::{READER_PERIOD, is_reader};
 use model::{EndpointName, Kind, Revision, Time};
 use rand::RngExt;
-use store::StoreError;
+use store::{Listing, StoreError};
 use tokio::task::spawn_blocking;
 use tokio::time::{Instant, sleep, sleep_until};
 use wire::MAX_TRANSFER_BYTES;
@@ -184,17 +184,10 @@
             Ok(newer) => {
                 retries.reset();
                 node.platform.record_success();
-                let confirmed = newer.as_ref().map_or(since, |listing| listing.revision);
-                let now = node.now();
-                let at = confirmed_at(asked_at, wait, now);
-                let heard = node.platform.confirm_config(confirmed, at, now);
-                gossip::pass_on(&node, heard);
+                let newest = newer.as_ref().map_or(since, |listing| listing.revision);
+                confirm_config(&node, newest, asked_at, wait);
                 if let Some(listing) = newer {
-                    let applied = {
-                        let mut config = write(&node.config);
-                        config.imported.apply_listing(listing.revision, listing.objects)
-                    };
-                    update_dependents(&node, Feed::Imported, applied, "platform");
+                    apply_config(&node, listing);
                     let [min, max] = IMPORT_REWATCH_DELAY;
                     sleep(random_between(min, max)).await;
                 }
@@ -216,11 +209,18 @@
     }
 }
 
-/// Time at which the store had nothing newer than what it returned to a watch. A watch that ended
-/// with its wait time looked at the store at the end of it.
-fn confirmed_at(asked_at: Time, wait: Duration, now: Time) -> Time {
-    let end = asked_at + wait;
-    if now >= end { end } else { asked_at }
+/// Records that the platform had nothing newer than `newest`, as its answer to a watch shows. A watch
+/// that ended with its wait time looked at the store at the end of it.
+fn confirm_config(node: &Node, newest: Revision, asked_at: Time, wait: Duration) {
+    let (now, end) = (node.now(), asked_at + wait);
+    let confirmed_at = if now >= end { end } else { asked_at };
+    let heard = node.platform.confirm_config(newest, confirmed_at, now);
+    gossip::pass_on(node, heard);
+}
+
+fn apply_config(node: &Arc<Node>, listing: Listing) {
+    let applied = write(&node.config).imported.apply_listing(listing.revision, listing.objects);
+    update_dependents(node, Feed::Imported, applied, "platform");
 }
 
 /// Waits until this node asks the platform for the configuration: at once if it is a reader, otherwise
