--- a/crates/admission/tests/retries.rs
+++ b/crates/admission/tests/retries.rs
@@ -134,6 +134,33 @@
     assert!((4..=5).contains(&granted), "{granted} retries");
 }
 
+/// Guards against retries beyond the limit of the users in 10 s in which all guards start again twice,
+/// each time with spare retries of their own, while endpoints fail all the time.
+#[test]
+fn guards_that_start_again_twice_stay_within_the_limit() {
+    const ENDPOINTS: usize = 8;
+    // As many as the smallest service of the users' first site that is called directly.
+    const CALLS_PER_SECOND: u64 = 19;
+    let mut service = Service::with_endpoints(ENDPOINTS);
+    let mut granted = Vec::new();
+    for second in 0..30_u64 {
+        if second == 15 || second == 19 {
+            service.guards.clear();
+            (0..ENDPOINTS).for_each(|_| service.add_endpoint(second * 1000));
+        }
+        for call in 0..CALLS_PER_SECOND {
+            service.call(call as usize % ENDPOINTS, FIRST, second * 1000 + call * 50);
+        }
+        let retries = (0..ENDPOINTS)
+            .map(|guard| (0..100).take_while(|_| service.retry(guard, second * 1000 + 999)).count())
+            .sum::<usize>();
+        granted.push(retries as u64);
+    }
+    let bound = CALLS_PER_SECOND * 10 / 5 + ALLOWED_SPARE_RETRIES;
+    let most = granted.windows(10).map(|window| window.iter().sum::<u64>()).max().unwrap();
+    assert!(most <= bound, "{most} retries in 10 s, bound {bound}");
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 300,
