--- a/crates/admission/tests/retries.rs
+++ b/crates/admission/tests/retries.rs
@@ -134,8 +134,7 @@
     assert!((4..=5).contains(&granted), "{granted} retries");
 }
 
-/// Guards against retries beyond the limit of the users in 10 s in which all guards start again twice,
-/// each time with spare retries of their own, while endpoints fail all the time.
+/// Guards against spare retries that each process of a guard grants anew within 10 s.
 #[test]
 fn guards_that_start_again_twice_stay_within_the_limit() {
     const ENDPOINTS: usize = 8;
--- a/crates/config/tests/configuration.rs
+++ b/crates/config/tests/configuration.rs
@@ -12,8 +12,7 @@
 }
 
 proptest! {
-    /// Guards against a guard that refuses the requests of a route that was just added, because its node
-    /// records are newer than those of the entry while its imported configuration is older.
+    /// Guards against a guard that refuses a new route because only its node records are newer.
     #[test]
     fn an_older_imported_configuration_supersedes_nothing(a in revisions(), b in revisions()) {
         if a.imported < b.imported {
--- a/crates/config/tests/freshness.rs
+++ b/crates/config/tests/freshness.rs
@@ -28,8 +28,7 @@
     assert_eq!(freshness.age(Revision(3), at(150)), Some(Duration::from_millis(50)));
 }
 
-/// Guards against a node that trusts its configuration although it has heard of a newer one, and does
-/// not get it from the peer that has it.
+/// Guards against a node that trusts its configuration although it has heard of a newer one.
 #[test]
 fn a_node_that_knows_of_a_newer_revision_asks_soon() {
     let mut freshness = Freshness::default();
@@ -44,8 +43,7 @@
     assert_eq!(freshness.next_step(Revision(4), at(410)), FreshnessStep::TrustUntil(at(1500)));
 }
 
-/// Guards against a node that asks without pause because a peer claims a revision that the platform
-/// does not have.
+/// Guards against a node that asks without pause for a revision that only a peer claims to have.
 #[test]
 fn a_revision_that_the_platform_lacks_is_not_asked_for_without_pause() {
     let mut freshness = Freshness::default();
@@ -55,8 +53,7 @@
     assert_eq!(freshness.next_step(Revision(3), at(310)), FreshnessStep::TrustUntil(at(1510)));
 }
 
-/// Guards against confirmations that are passed on again and again between the same nodes, and against
-/// those that are not passed on.
+/// Guards against confirmations that go back and forth between nodes, or that do not spread.
 #[test]
 fn only_considerably_later_confirmations_are_passed_on() {
     let mut freshness = Freshness::default();
@@ -94,8 +91,7 @@
 proptest! {
     #![proptest_config(ProptestConfig { cases: 512, ..ProptestConfig::default() })]
 
-    /// Guards against a node that relies on its configuration when nothing has confirmed it for longer
-    /// than the time in which a configuration has to be in force, less the time of a call.
+    /// Guards against a node that relies on its configuration for longer than a late one is allowed.
     #[test]
     fn nothing_is_trusted_without_a_recent_confirmation(
         series in prop::collection::vec(report(), 0..20),
--- a/crates/limits/tests/cases.rs
+++ b/crates/limits/tests/cases.rs
@@ -120,8 +120,7 @@
     check_granted(&mut new, now, &account, &request(&account, 5, 60, &[]), 3);
 }
 
-/// Guards against the burst of a share that is granted once by each of its owners when nodes restart in
-/// turn, and against one that grants it again when it is the owner again.
+/// Guards against a burst that each owner of a share grants once while nodes restart in turn.
 #[test]
 fn a_share_that_changes_its_owner_grants_its_burst_once() {
     let account = account(60, 60);
--- a/crates/upstream/tests/client.rs
+++ b/crates/upstream/tests/client.rs
@@ -141,8 +141,7 @@
     check(Script::Close("HTTP/1.1 200 OK\r\ncontent-le"), "Lost").await;
 }
 
-/// Guards against a head that breaks off at any byte and is taken for a response with an empty or short
-/// body, whichever way the body would have been framed.
+/// Guards against a head that breaks off and is taken for a response with an empty or short body.
 #[tokio::test]
 async fn a_head_that_breaks_off_is_no_response() {
     let heads = [
--- a/crates/zinniacross/tests/late_configuration.rs
+++ b/crates/zinniacross/tests/late_configuration.rs
@@ -48,8 +48,7 @@
     }
 }
 
-/// Guards against a watch that has fallen silent and is trusted for so long that a version of the next
-/// second is late. All nodes of a small failure domain wait at the platform.
+/// Guards against a silent watch that is trusted too long where every node waits at the platform.
 #[test]
 fn a_version_of_the_second_after_a_silence_is_in_time() {
     const NODES: usize = 3;
@@ -65,8 +64,7 @@
     }
 }
 
-/// Guards against a node that hears of a version, or would, over links that have fallen silent, and waits
-/// for these although the platform would answer it.
+/// Guards against a node that waits for silent links although the platform would answer it.
 #[test]
 fn a_version_is_in_time_after_the_links_between_nodes_fell_silent() {
     const NODES: usize = 12;
--- a/crates/zinniacross/tests/spoiled_answers.rs
+++ b/crates/zinniacross/tests/spoiled_answers.rs
@@ -163,8 +163,7 @@
     }
 }
 
-/// Guards against an answer whose head breaks off and that reaches the caller as a success with an
-/// empty or short body.
+/// Guards against an answer whose head breaks off and that reaches the caller as a success.
 #[test]
 fn a_head_that_breaks_off_is_no_success() {
     let site = Site::start();
