Learn earlier departures from the store, not from the copy of a peer

Cause: the acknowledgement of a notice binds every later process of the node, and the record in the store proves it. A new process accepted announcements as soon as it had the stored objects from any source. The copy that a peer sends may be behind, as readers watch again up to 0.9 s after a change.

Ruled out: a late write of the killed process (it was stored before the acknowledgement); departures that are lost on the way from record to table (they were restored as soon as a copy contained them).

Change: only a listing of the store tells the departures. Until then announcements get 503; the node serves with the copy of the peer.

--- a/crates/node/src/announce.rs
+++ b/crates/node/src/announce.rs
@@ -48,7 +48,7 @@
 /// Waits until the departures that earlier processes of this node have recorded are known. Before, a
 /// late message can't be told from one of an endpoint that is still there.
 async fn wait_until_departures_known(node: &Node) -> Result<(), AnnounceError> {
-    let mut known = node.has_objects.subscribe();
+    let mut known = node.departures_known.subscribe();
     match timeout(STORE_TIMEOUT, known.wait_for(|known| *known)).await {
         Ok(Ok(_)) => Ok(()),
         Ok(Err(_)) | Err(_) => Err(AnnounceError::Unavailable),
@@ -129,6 +129,15 @@
     Ok(())
 }
 
+/// Records that the departures that earlier processes of this node have acknowledged are known, and wakes
+/// the task that writes the node record.
+pub(crate) fn record_departures_known(node: &Node) {
+    if !node.departures_known.send_replace(true) {
+        info!("the departures that earlier processes of this node acknowledged are known");
+        node.node_record_changed.notify_one();
+    }
+}
+
 /// Takes over what the record of an earlier process of this node tells, if the replica holds one.
 pub(crate) fn take_over_stored(node: &Arc<Node>) {
     let info = node.info();
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -100,8 +100,9 @@
     /// Wakes the task that announces new revisions to peers.
     pub(crate) revisions_changed: Notify,
     pub(crate) phase: watch::Sender<Phase>,
-    /// Whether the stored objects have been received, from the platform or from a peer.
-    pub(crate) has_objects: watch::Sender<bool>,
+    /// Whether the departures that earlier processes of this node have acknowledged are known. Only the
+    /// platform has all of them; the copy of a peer may be behind.
+    pub(crate) departures_known: watch::Sender<bool>,
     /// Departures in the node record that this process has written last.
     pub(crate) stored_departures: watch::Sender<Vec<DepartedEndpoint>>,
     /// Whether the node record shows that this process has left the members.
@@ -159,7 +160,7 @@
             node_record_changed: Notify::new(),
             revisions_changed: Notify::new(),
             phase: watch::Sender::new(Phase::Serving),
-            has_objects: watch::Sender::new(false),
+            departures_known: watch::Sender::new(false),
             stored_departures: watch::Sender::new(Vec::new()),
             has_left: watch::Sender::new(false),
             exit_at: watch::Sender::new(None),
--- a/crates/node/src/sync.rs
+++ b/crates/node/src/sync.rs
@@ -157,10 +157,14 @@
 async fn list(node: &Arc<Node>) -> Result<(), StoreError> {
     let store = Arc::clone(&node.interfaces.store);
     let listing = run_blocking(move || store.list()).await?;
+    let earlier = node_record::record_of_earlier_process(node, &listing.objects).cloned();
     let applied = write(&node.config).objects.apply_listing(listing.revision, listing.objects);
     update_dependents(node, Feed::Objects, applied, "list");
-    // A listing of an empty store changes nothing, but is known from here on.
-    record_objects(node);
+    // The replica may hold a copy of the record that a peer has sent without the start time.
+    if let Some(record) = earlier {
+        announce::take_over(node, &record);
+    }
+    announce::record_departures_known(node);
     Ok(())
 }
 
@@ -301,22 +305,14 @@
         }
     }
     refresh_dependents(node, feed, source);
-    match feed {
-        Feed::Objects => record_objects(node),
-        Feed::Imported => node.guard.update_service_policies(node),
+    if feed == Feed::Imported {
+        node.guard.update_service_policies(node);
     }
     if node.is_loaded() {
         node.platform.record_loaded();
     }
 }
 
-/// Records that the stored objects have been received, and wakes the task that writes the node record.
-fn record_objects(node: &Node) {
-    if !node.has_objects.send_replace(true) {
-        node.node_record_changed.notify_one();
-    }
-}
-
 fn refresh_dependents(node: &Arc<Node>, feed: Feed, source: &str) {
     let config = read(&node.config);
     let revisions = config.revisions();
--- a/crates/zinniacross/tests/common/site.rs
+++ b/crates/zinniacross/tests/common/site.rs
@@ -235,6 +235,28 @@
     (head, body)
 }
 
+/// Sends a heartbeat of an endpoint to a node. Returns the status.
+pub fn send_heartbeat(node: SocketAddr, endpoint: &str, body: String) -> u16 {
+    answer_status(ureq::put(format!("http://{node}/api/endpoints/{endpoint}")).send(body))
+}
+
+/// Sends the notice that an endpoint is gone to its node. Returns the status.
+pub fn send_removal(node: SocketAddr, endpoint: &str, body: String) -> u16 {
+    let url = format!("http://{node}/api/endpoints/{endpoint}");
+    let req = ureq::http::Request::delete(&url).body(body).unwrap();
+    let agent: ureq::Agent =
+        ureq::Agent::config_builder().allow_non_standard_methods(true).build().into();
+    answer_status(agent.run(req))
+}
+
+fn answer_status(answer: Result<ureq::http::Response<ureq::Body>, ureq::Error>) -> u16 {
+    match answer {
+        Ok(answer) => answer.status().as_u16(),
+        Err(ureq::Error::StatusCode(status)) => status,
+        Err(err) => panic!("{err}"),
+    }
+}
+
 pub fn status(head: &str) -> u16 {
     head.split(' ').nth(1).unwrap().parse().unwrap()
 }
@@ -302,26 +324,12 @@
 
     /// Sends a heartbeat of the endpoint with this name.
     pub fn announce(&self, name: &str, body: String) -> u16 {
-        let url = format!("http://{}/api/endpoints/{name}", self.node.announce);
-        match ureq::put(&url).send(body) {
-            Ok(answer) => answer.status().as_u16(),
-            Err(ureq::Error::StatusCode(status)) => status,
-            Err(err) => panic!("{err}"),
-        }
+        send_heartbeat(self.node.announce, name, body)
     }
 
     /// Sends the notice that the endpoint is gone. Returns the status.
     pub fn deregister(&self, seq: u32) -> u16 {
-        let url = format!("http://{}/api/endpoints/i-1", self.node.announce);
-        let body = format!(r#"{{"seq":{seq},"born":7}}"#);
-        let req = ureq::http::Request::delete(&url).body(body).unwrap();
-        let agent: ureq::Agent =
-            ureq::Agent::config_builder().allow_non_standard_methods(true).build().into();
-        match agent.run(req) {
-            Ok(answer) => answer.status().as_u16(),
-            Err(ureq::Error::StatusCode(status)) => status,
-            Err(err) => panic!("{err}"),
-        }
+        send_removal(self.node.announce, "i-1", format!(r#"{{"seq":{seq},"born":7}}"#))
     }
 
     /// Sends a notice that the endpoint leaves, or that it is gone.
