Ask other nodes for departures that a restored store has lost

Callers: after a node had acknowledged that its endpoint is gone, the store came back from a copy without that, and the node was killed before it had written its record again.

Cause: a process that starts took the listing of a restored store for all that earlier processes of its node had acknowledged. The other nodes still have the lost record in effect, but don't give it to the node: it pulls only revisions above that of its listing.

Ruled out: late writes of the killed process, and a race with the record of the new one; the listing has the record as in the backup.

Departures are facts, so those that any node tells are restored. A new frame, which nodes of earlier versions answer by closing the link.

--- a/crates/config/src/replica.rs
+++ b/crates/config/src/replica.rs
@@ -14,7 +14,7 @@
     MarkEntry, NodeEntry, RouteEntry, RoutePolicy, ServiceEntry, StoredEntry, is_valid_name,
     trim_trailing_slashes,
 };
-use crate::transfer::{Chunks, Delta};
+use crate::transfer::{Chunk, Chunks, Delta};
 
 mod retained;
 
@@ -215,6 +215,18 @@
         Chunks::new(None, self.compact_revision, self.revision, objects, max_bytes)
     }
 
+    /// Returns the last write of one object, as a transfer of its own.
+    pub fn copy_of(&self, key: &ObjectKey) -> Chunk {
+        Chunk {
+            from: None,
+            compact_revision: self.compact_revision,
+            to: self.revision,
+            index: 0,
+            last: true,
+            objects: self.object(key).into_iter().collect(),
+        }
+    }
+
     /// Returns the number of objects, not counting tombstones.
     pub fn len(&self) -> usize {
         let hashed = self.routes.len() + self.accounts.len() + self.keys.len();
--- a/crates/node/src/announce.rs
+++ b/crates/node/src/announce.rs
@@ -30,7 +30,7 @@
             };
             let node = &self.node;
             if departing.is_none() {
-                wait_until_departures_known(node).await?;
+                wait_for_handover(node).await?;
             }
             apply(node, announcement)?;
             match departing {
@@ -45,14 +45,11 @@
 /// after a second for a lost one.
 const STORE_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// Waits until the departures that earlier processes of this node have recorded are known. Before, a
+/// Waits until the departures that earlier processes of this node have acknowledged are known. Before, a
 /// late message can't be told from one of an endpoint that is still there.
-async fn wait_until_departures_known(node: &Node) -> Result<(), AnnounceError> {
-    let mut known = node.departures_known.subscribe();
-    match timeout(STORE_TIMEOUT, known.wait_for(|known| *known)).await {
-        Ok(Ok(_)) => Ok(()),
-        Ok(Err(_)) | Err(_) => Err(AnnounceError::Unavailable),
-    }
+async fn wait_for_handover(node: &Node) -> Result<(), AnnounceError> {
+    let complete = timeout(STORE_TIMEOUT, node.handover.wait_until_complete()).await;
+    complete.map_err(|_| AnnounceError::Unavailable)
 }
 
 /// Waits until the platform holds the departure of an endpoint. The acknowledgement of a notice promises
@@ -129,15 +126,6 @@
     Ok(())
 }
 
-/// Records that the departures that earlier processes of this node have acknowledged are known, and wakes
-/// the task that writes the node record.
-pub(crate) fn record_departures_known(node: &Node) {
-    if !node.departures_known.send_replace(true) {
-        info!("the departures that earlier processes of this node acknowledged are known");
-        node.node_record_changed.notify_one();
-    }
-}
-
 /// Takes over what the record of an earlier process of this node tells, if the replica holds one.
 pub(crate) fn take_over_stored(node: &Arc<Node>) {
     let info = node.info();
@@ -155,7 +143,7 @@
 }
 
 /// Restores departures, and removes the endpoints that late messages have added meanwhile.
-fn restore(node: &Arc<Node>, departed: &[DepartedEndpoint]) {
+pub(crate) fn restore(node: &Arc<Node>, departed: &[DepartedEndpoint]) {
     let late = lock(&node.announcements).restore_departed(departed);
     for endpoint in &late {
         warn!("endpoint {endpoint} was removed: it had left before this process started");
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -13,6 +13,7 @@
 mod explain;
 mod gossip;
 mod guard;
+mod handover;
 mod latencies;
 mod limiter;
 mod loads;
--- a/crates/node/src/node_record.rs
+++ b/crates/node/src/node_record.rs
@@ -117,13 +117,13 @@
     }
 }
 
-/// Waits until the departures that earlier processes of this node have recorded are known, and then for
+/// Waits until the departures that earlier processes of this node have acknowledged are known, and then for
 /// the first announcement of an endpoint for at most [`FIRST_RECORD_MAX_DELAY`] since the start. Ends when
 /// the node stops.
 async fn wait_for_start(node: &Node) {
     let latest = Instant::now() + FIRST_RECORD_MAX_DELAY;
     // Changes of the configuration wake the task as well.
-    while node.phase() == Phase::Serving && !*node.departures_known.borrow() {
+    while node.phase() == Phase::Serving && !node.handover.is_complete() {
         node.node_record_changed.notified().await;
     }
     let has_endpoint = || !lock(&node.announcements).table().is_empty();
@@ -279,18 +279,6 @@
     .await
 }
 
-/// The record of an earlier process of this node among these objects.
-pub(crate) fn record_of_earlier_process<'a>(
-    node: &Node,
-    objects: &'a [StoredObject],
-) -> Option<&'a model::NodeRecord> {
-    let key = node_key(&node.info().node);
-    match objects.iter().find(|stored| stored.key == key)?.object.as_ref()? {
-        Object::Node(record) if record.incarnation != node.info().incarnation => Some(record),
-        _ => None,
-    }
-}
-
 /// Revision of this process's record in the replica.
 fn stored_revision(node: &Node) -> Option<Revision> {
     let config = read(&node.config);
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -18,7 +18,7 @@
 use wire::{Call, FenceStatus, Frame};
 
 use crate::shared::{Node, Phase, SharedMap, lock, read, write};
-use crate::{evacuations, gossip, guard, sync};
+use crate::{evacuations, gossip, guard, node_record, sync};
 
 /// Time for which a peer is avoided after the first failure to reach it. It doubles with each
 /// further failure.
@@ -352,6 +352,10 @@
                 gossip::receive_supply(node, &peer.node, feed, transfer);
                 Frame::Done
             }
+            Frame::PullOwnRecord => {
+                let key = node_record::node_key(&peer.node);
+                Frame::Objects(Feed::Objects, read(&node.config).objects.copy_of(&key))
+            }
             Frame::PullMore => next_chunk(&mut lock(&node.peers.outgoing_transfers), &peer.node),
             Frame::Fence { attempt, start_by } => {
                 let status = node.guard.fence(attempt, start_by, node.now());
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -24,6 +24,7 @@
 use crate::clock::MonotonicClock;
 use crate::evacuations::EvacuationView;
 use crate::guard::LocalGuard;
+use crate::handover::HandoverView;
 use crate::limiter::Limiter;
 use crate::loads::EndpointLoads;
 use crate::metrics::Metrics;
@@ -100,9 +101,8 @@
     /// Wakes the task that announces new revisions to peers.
     pub(crate) revisions_changed: Notify,
     pub(crate) phase: watch::Sender<Phase>,
-    /// Whether the departures that earlier processes of this node have acknowledged are known. Only the
-    /// platform has all of them; the copy of a peer may be behind.
-    pub(crate) departures_known: watch::Sender<bool>,
+    /// What is known of the departures that earlier processes of this node have acknowledged.
+    pub(crate) handover: HandoverView,
     /// Departures in the node record that this process has written last.
     pub(crate) stored_departures: watch::Sender<Vec<DepartedEndpoint>>,
     /// Whether the node record shows that this process has left the members.
@@ -160,7 +160,7 @@
             node_record_changed: Notify::new(),
             revisions_changed: Notify::new(),
             phase: watch::Sender::new(Phase::Serving),
-            departures_known: watch::Sender::new(false),
+            handover: HandoverView::default(),
             stored_departures: watch::Sender::new(Vec::new()),
             has_left: watch::Sender::new(false),
             exit_at: watch::Sender::new(None),
--- a/crates/node/src/sync.rs
+++ b/crates/node/src/sync.rs
@@ -17,7 +17,7 @@
 use crate::peers::Reachability;
 use crate::platform_link::Retries;
 use crate::shared::{Node, read, write};
-use crate::{announce, evacuations, gossip, guard, node_record};
+use crate::{announce, evacuations, gossip, guard, handover, node_record};
 
 /// Long-poll timeout of a watch at the platform. Each watch is billed as a request. TCP keep-alive
 /// detects a dead connection before the timeout ends.
@@ -157,14 +157,12 @@
 async fn list(node: &Arc<Node>) -> Result<(), StoreError> {
     let store = Arc::clone(&node.interfaces.store);
     let listing = run_blocking(move || store.list()).await?;
-    let earlier = node_record::record_of_earlier_process(node, &listing.objects).cloned();
-    let applied = write(&node.config).objects.apply_listing(listing.revision, listing.objects);
+    let key = node_record::node_key(&node.info().node);
+    let own = listing.objects.iter().find(|stored| stored.key == key).cloned();
+    let revision = listing.revision;
+    let applied = write(&node.config).objects.apply_listing(revision, listing.objects);
     update_dependents(node, Feed::Objects, applied, "list");
-    // The replica may hold a copy of the record that a peer has sent without the start time.
-    if let Some(record) = earlier {
-        announce::take_over(node, &record);
-    }
-    announce::record_departures_known(node);
+    handover::take_over_listed(node, revision.era(), own);
     Ok(())
 }
 
--- a/crates/wire/src/encoding.rs
+++ b/crates/wire/src/encoding.rs
@@ -119,6 +119,8 @@
     PullMore,
     #[serde(rename = "ob")]
     Objects(u8, Option<u64>, u64, u64, u32, bool, Vec<WireObject>),
+    #[serde(rename = "po")]
+    PullOwnRecord,
     #[serde(rename = "d")]
     Done,
     #[serde(rename = "c")]
@@ -168,6 +170,7 @@
             Frame::Pull(feed, from) => WireFrame::Pull(feed_to_wire(*feed, *from), from.0),
             Frame::PullMore => WireFrame::PullMore,
             Frame::Objects(feed, transfer) => transfer_to_wire(*feed, transfer),
+            Frame::PullOwnRecord => WireFrame::PullOwnRecord,
             Frame::Done => WireFrame::Done,
             Frame::Call(call) => WireFrame::Call(Box::new(call.as_ref().into())),
             Frame::CallBody(part) => WireFrame::CallBody(body_to_wire(part)),
@@ -259,6 +262,7 @@
                 };
                 Frame::Objects(feed, transfer)
             }
+            WireFrame::PullOwnRecord => Frame::PullOwnRecord,
             WireFrame::Done => Frame::Done,
             WireFrame::Call(call) => Frame::Call(Box::new(Call::try_from(*call)?)),
             WireFrame::CallBody(part) => Frame::CallBody(body_from_wire(part)?),
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -210,6 +210,9 @@
     PullMore,
     /// A part of a transfer.
     Objects(Feed, Transfer),
+    /// Requests the latest record of the sending node that the receiver has seen, from any process of
+    /// that node. The reply is a transfer with one object or none.
+    PullOwnRecord,
     /// The frame was processed.
     Done,
     /// An attempt to run a request.
--- a/crates/zinniacross/tests/common/imported.rs
+++ b/crates/zinniacross/tests/common/imported.rs
@@ -168,9 +168,19 @@
 
     /// Kills a node and starts it again at the same addresses.
     pub fn restart(&mut self, node: usize) {
+        self.kill(node);
+        self.start_again(node);
+    }
+
+    /// Kills a node.
+    pub fn kill(&mut self, node: usize) {
         let process = &mut self.nodes[node].process;
         process.signal(Signal::Kill).unwrap();
         process.wait(SOON).expect("a killed process ends");
+    }
+
+    /// Starts a node again that has ended, at the same addresses.
+    pub fn start_again(&mut self, node: usize) {
         let binary = Path::new(env!("CARGO_BIN_EXE_zinniacross"));
         self.nodes[node].start_again(binary).unwrap();
     }
--- a/crates/zinniacross/tests/handover.rs
+++ b/crates/zinniacross/tests/handover.rs
@@ -3,10 +3,12 @@
 
 mod common;
 
+use std::thread;
 use std::time::{Duration, Instant};
 
 use common::imported::{ImportedFleet, SOON};
 use common::site::{Endpoint, send, send_heartbeat, send_removal, status};
+use common::{millis, seconds};
 use standins::platform::Faults;
 use standins::process::{Signal, wait_until};
 
@@ -120,3 +122,32 @@
     handover.fleet.platform.set_faults(Faults::default());
     println!("a later start is in use after {:?}", handover.time_until_back());
 }
+
+/// Guards against an endpoint that is in use again after its node has acknowledged that it is gone: the store
+/// was restored from a backup without the departure, and the process of the node that had seen it has ended.
+/// Only other nodes know of it.
+#[test]
+fn a_departure_that_the_store_has_lost_is_known_from_peers() {
+    const ALL: [usize; 3] = [0, 1, 2];
+    let mut handover = Handover::start(ALL.len(), Some(1));
+    thread::sleep(seconds(1));
+    let left_at = Instant::now();
+    assert_eq!(handover.deregister(), 200);
+    let stored: serde_json::Value =
+        serde_json::from_str(&handover.fleet.stored("node.node-0")).unwrap();
+    let number = stored["meta"]["rev"].as_u64().unwrap();
+    let is_known =
+        |node| handover.fleet.metric(node, "objects_revision") & ((1 << 44) - 1) >= number;
+    assert!(wait_until(SOON, || ALL.into_iter().all(is_known)), "all nodes know of the departure");
+
+    handover.fleet.kill(NODE);
+    handover.fleet.platform.restore(left_at.elapsed() + millis(500), millis(400));
+    assert!(!handover.fleet.stored("node.node-0").contains("departed"), "the store has lost it");
+    handover.fleet.start_again(NODE);
+    let has_listed = || handover.fleet.metric(NODE, "objects_revision") >> 44 == 2;
+    assert!(wait_until(SOON, has_listed), "the node lists the restored store");
+    handover.check_stays_gone(3, &ALL);
+    println!("a later start is in use after {:?}", handover.time_until_back());
+    let is_written = || handover.fleet.stored("node.node-0").contains("departed");
+    assert!(wait_until(SOON, is_written), "the departure is written again");
+}
