Give what peers retain to a node that starts after a restore

Callers: a withdrawn key of the product's own objects worked again at a node that had started after a restore of the store, until another node had withdrawn it in the store again. Found by reading the paths related to the lost departure; the same holds for limits, routes, marks and records.

Cause: the listing of a restored store was taken for complete. What the store has lost, peers retain and write again, but deltas contain only revisions above that of the listing.

Ruled out for this: full copies instead of a question of its own. They are as large as the listing, and don't tell a retained write from one that the listing shows as deleted.

Change: after its first listing in a store that tells eras a node asks peers what they retain, until two that ran before the restore have answered, 12 times at most. An answer counts only if the peer has listed the store in this era and is not behind the listing; otherwise a write that was made again and then deleted would come back.

The stand-in of the store can refuse writes.

--- a/crates/config/src/replica/retained.rs
+++ b/crates/config/src/replica/retained.rs
@@ -9,6 +9,7 @@
 use model::{Kind, ObjectKey, Revision, StoredObject};
 
 use super::{Applied, Replica, is_well_formed};
+use crate::transfer::Chunks;
 
 /// An object or a tombstone that is in effect although the store lacks it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -78,6 +79,52 @@
         true
     }
 
+    /// Returns a copy of the writes that are in effect although the store lacks them, for a node that has
+    /// started since the restore: its replica is complete without them, and deltas don't contain them. A
+    /// replica that has not listed the store since its last known restore does not know them; its copy is at
+    /// revision zero.
+    pub fn retained_copy(&self, max_bytes: usize) -> Chunks {
+        let is_known = self.retains && self.is_listed_in(self.revision.era());
+        let to = if is_known { self.revision } else { Revision::ZERO };
+        let keys = self.retained.keys().filter(|_| is_known);
+        let objects = keys.filter_map(|key| self.stored_entry(key)).collect();
+        Chunks::new(None, self.compact_revision, to, objects, max_bytes)
+    }
+
+    /// Takes over the writes that another replica, which was at `revision`, retains. Returns [`Applied::Gap`]
+    /// if that replica or this one may lack a later write that has replaced one of them.
+    pub fn apply_retained(&mut self, revision: Revision, lost: Vec<StoredObject>) -> Applied {
+        let is_listed = self.retains && self.is_listed_in(revision.era());
+        if !is_listed || revision.era() < self.revision.era() || revision < self.compact_revision {
+            return Applied::Gap;
+        }
+        if !lost.iter().all(|write| is_well_formed(write, Revision::ZERO, revision)) {
+            return Applied::Malformed;
+        }
+        let mut applied = Applied::AlreadyKnown;
+        for write in lost {
+            let in_store = self.revision_of(&write.key);
+            let is_later = in_store.is_none_or(|in_store| in_store < write.revision);
+            // A deletion has nothing left to delete.
+            if is_later && (write.object.is_some() || in_store.is_some()) {
+                self.retain(write, in_store);
+                applied = Applied::Applied;
+            }
+        }
+        applied
+    }
+
+    /// Puts a write into effect that the store lacks, which has the object at `in_store`.
+    fn retain(&mut self, write: StoredObject, in_store: Option<Revision>) {
+        let key = write.key.clone();
+        let tombstone = write.object.is_none().then(|| (write.revision, write.write_id.clone()));
+        self.insert(write);
+        if let Some(tombstone) = tombstone {
+            self.tombstones.insert(key.clone(), tombstone);
+        }
+        self.retained.insert(key, in_store);
+    }
+
     /// Whether a listing or copy at this revision is merged with the content: it is of an era in which
     /// this replica has not listed the store.
     pub(super) fn is_merged(&self, revision: Revision) -> bool {
@@ -150,12 +197,7 @@
             if !is_later || (write.object.is_none() && in_store.is_none()) {
                 continue;
             }
-            let tombstone = write.object.is_none().then(|| write.clone());
-            self.insert(write);
-            if let Some(StoredObject { key, revision, write_id, .. }) = tombstone {
-                self.tombstones.insert(key, (revision, write_id));
-            }
-            self.retained.insert(key.clone(), in_store);
+            self.retain(write, in_store);
         }
     }
 
--- a/crates/config/tests/restores.rs
+++ b/crates/config/tests/restores.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use config::{
-    Applied, Delta, MAX_REWRITE_DELAY, Replica, Retained, RewriteStep, Rewrites, TransferReceiver,
+    Applied, Chunk, Delta, MAX_REWRITE_DELAY, Replica, Retained, RewriteStep, Rewrites,
+    TransferReceiver,
 };
 use model::{Kind, NodeName, Object, ObjectKey, Revision, StoredObject, Time};
 use proptest::prelude::*;
@@ -147,6 +148,66 @@
     assert_eq!((imported.len(), retained(&imported).len()), (0, 0));
 }
 
+/// Takes over what another replica retains.
+fn take_over_retained(to: &mut Replica, from: &Replica) -> Applied {
+    let chunks: Vec<Chunk> = from.retained_copy(usize::MAX).collect();
+    to.apply_retained(chunks[0].to, chunks.into_iter().flat_map(|chunk| chunk.objects).collect())
+}
+
+/// Guards against a withdrawn key, or a reverted limit, that is in effect at a node which has started after
+/// the restore: neither its listing nor deltas of other nodes contain what the store has lost.
+#[test]
+fn a_replica_that_starts_after_a_restore_takes_over_what_others_retain() {
+    let mut running = replica(&[("changed", 40), ("deleted", 41), ("kept", 42)]);
+    let lost = vec![
+        account("changed", at(0, 61), Some(2)),
+        account("deleted", at(0, 62), None),
+        account("new", at(0, 63), Some(2)),
+    ];
+    running.apply_delta(at(0, 60), at(0, 63), lost);
+    let listing = || {
+        [("changed", 40), ("deleted", 41), ("kept", 42)]
+            .map(|(name, number)| account(name, at(0, number), Some(1)))
+            .to_vec()
+    };
+    let mut started = Replica::retaining();
+    started.apply_listing(at(1, 55), listing());
+    assert_eq!(take_over_retained(&mut started, &running), Applied::Gap, "it has not listed");
+    running.apply_listing(at(1, 55), listing());
+    pull(&mut started, &running);
+    assert_eq!(names(&started), ["changed", "deleted", "kept"]);
+    assert_eq!(take_over_retained(&mut started, &running), Applied::Applied);
+    assert_eq!(names(&started), ["changed", "kept", "new"]);
+    assert_eq!(started.account("changed").unwrap().value().burst.0, 2);
+    assert_eq!(retained(&started), retained(&running));
+    assert_eq!(take_over_retained(&mut started, &running), Applied::AlreadyKnown);
+
+    // A later listing of the same era keeps them, and writes of the new era replace them.
+    started.apply_listing(at(1, 56), listing());
+    running.apply_delta(at(1, 55), at(1, 56), vec![]);
+    assert_eq!(retained(&started), retained(&running));
+    started.apply_delta(at(1, 56), at(1, 57), vec![account("deleted", at(1, 57), None)]);
+    assert_eq!(take_over_retained(&mut started, &running), Applied::AlreadyKnown);
+    assert_eq!(names(&started), ["changed", "kept", "new"]);
+    assert_eq!(retained(&started).len(), 2);
+}
+
+/// Guards against a deletion since the restore that is undone by a node which is behind, and still retains
+/// what was written again and then deleted.
+#[test]
+fn a_replica_takes_over_nothing_from_one_that_is_behind_its_listing() {
+    let mut behind = replica(&[("again", 40)]);
+    behind.apply_listing(at(1, 30), vec![]);
+    assert_eq!(retained(&behind).len(), 1);
+    let mut started = Replica::retaining();
+    started.apply_listing(at(1, 32), vec![]);
+    assert_eq!(take_over_retained(&mut started, &behind), Applied::Gap);
+    let again = vec![account("again", at(1, 32), None)];
+    behind.apply_delta(at(1, 30), at(1, 32), again);
+    assert_eq!(take_over_retained(&mut started, &behind), Applied::AlreadyKnown);
+    assert_eq!(names(&started), [""; 0]);
+}
+
 /// Transfers what `from` has and `to` lacks.
 fn pull(to: &mut Replica, from: &Replica) {
     let chunks = match from.delta_since(to.revision(), usize::MAX) {
@@ -289,6 +350,13 @@
         let number = states[seen_first.max(seen_second)].number;
         prop_assert_eq!(content(second), last_writes(known(number).chain(in_new_era())));
 
+        // A replica that starts now knows the same once it has asked the second one.
+        let mut started = Replica::retaining();
+        started.apply_listing(store.revision(), store.listing());
+        take_over_retained(&mut started, second);
+        prop_assert_eq!(content(&started), content(second));
+        prop_assert_eq!(retained(&started), retained(second));
+
         let wanted: Vec<String> = content(second).into_keys().collect();
         let retained: Vec<Retained> = second.retained().collect();
         for Retained { write, in_store } in retained {
--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -6,15 +6,16 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use config::{Chunk, Feed, Heard, ReceiveOutcome, Revisions};
+use config::{Applied, Chunk, Feed, Heard, ReceiveOutcome, Revisions};
 use log::info;
-use model::{NodeName, Revision};
-use peer::LinkError;
+use model::{NodeName, Revision, StoredObject};
+use peer::{ControlReply, LinkError};
 use rand::RngExt;
-use rand::seq::IndexedRandom;
+use rand::seq::{IndexedRandom, SliceRandom};
 use tokio::time::sleep;
 use wire::Frame;
 
+use crate::node_record;
 use crate::peers::{Peer, Reachability};
 use crate::shared::{Node, lock, read, write};
 use crate::sync::{is_config_reader, transfer_since, update_dependents};
@@ -300,6 +301,84 @@
     }
 }
 
+/// Number of peers that ran before a restore of the store whose retained writes a node takes over after its
+/// start. One that was behind when the store was restored does not retain all of them.
+const RETAINING_PEERS: usize = 2;
+
+/// Number of questions about it at most, and the time after one without a usable answer. Peers list a store
+/// within about 2 s after its restore, and can't tell what it lacks before that.
+const MAX_RETAINED_QUESTIONS: usize = 12;
+const RETAINED_INTERVAL: Duration = Duration::from_millis(400);
+
+/// Takes over what peers retain that have seen writes which the store lost in a restore. A node that has
+/// started since then has listed the store, and neither its listing nor deltas of peers contain them.
+pub(crate) async fn pull_retained(node: Arc<Node>) {
+    let mut peers = node.peers.all();
+    peers.shuffle(&mut rand::rng());
+    let mut retaining = 0;
+    for peer in peers.iter().cycle().take(MAX_RETAINED_QUESTIONS) {
+        match pull_retained_from(&node, peer).await {
+            RetainedAnswer::RanBefore => retaining += 1,
+            RetainedAnswer::StartedSince => {}
+            RetainedAnswer::Unusable => sleep(RETAINED_INTERVAL).await,
+        }
+        if retaining == RETAINING_PEERS {
+            return;
+        }
+    }
+}
+
+/// Answer of a peer to a question what it retains.
+enum RetainedAnswer {
+    /// The peer ran before the last restore of the store.
+    RanBefore,
+    /// The peer has started since then. It knows what others have told it.
+    StartedSince,
+    /// The peer can't be reached or is of an earlier version, or it or this node may not know yet what has
+    /// replaced the writes.
+    Unusable,
+}
+
+async fn pull_retained_from(node: &Arc<Node>, peer: &Peer) -> RetainedAnswer {
+    let (mut lost, mut next) = (Vec::new(), Frame::PullRetained);
+    loop {
+        let reply = peer.control.request(next).await;
+        let Ok(ControlReply { frame: Frame::Objects(Feed::Objects, chunk), .. }) = reply else {
+            return RetainedAnswer::Unusable;
+        };
+        lost.extend(chunk.objects);
+        if !chunk.last {
+            next = Frame::PullMore;
+            continue;
+        }
+        let is_earlier = chunk.compact_revision.era() < chunk.to.era();
+        return match take_over_retained(node, peer, chunk.to, lost) {
+            Applied::Gap | Applied::Malformed => RetainedAnswer::Unusable,
+            Applied::Applied | Applied::AlreadyKnown if is_earlier => RetainedAnswer::RanBefore,
+            Applied::Applied | Applied::AlreadyKnown => RetainedAnswer::StartedSince,
+        };
+    }
+}
+
+fn take_over_retained(
+    node: &Arc<Node>,
+    peer: &Peer,
+    revision: Revision,
+    mut lost: Vec<StoredObject>,
+) -> Applied {
+    // Each process writes the record of its node itself.
+    let own_record = node_record::node_key(&node.info().node);
+    lost.retain(|write| write.key != own_record);
+    let count = lost.len();
+    let applied = write(&node.config).objects.apply_retained(revision, lost);
+    if applied == Applied::Applied {
+        info!("took over up to {count} writes that the store lost from node {}", peer.name);
+        node.guard.require_mark_update();
+        update_dependents(node, Feed::Objects, applied, peer.name.as_str());
+    }
+    applied
+}
+
 /// The revision from which a transfer starts to a node that has `own` from one that has `theirs`. A
 /// configuration that is ordered by the revision of the store is replaced by one with a version.
 fn start_of_transfer(own: Revision, theirs: Revision) -> Revision {
--- a/crates/node/src/guard.rs
+++ b/crates/node/src/guard.rs
@@ -108,6 +108,11 @@
         Some(std::mem::take(&mut applied.endpoints))
     }
 
+    /// Makes the next update apply the drain marks, although the replica is at the revision of the last one.
+    pub(crate) fn require_mark_update(&self) {
+        lock(&self.applied_marks).revision = Revision::ZERO;
+    }
+
     /// Applies the operators' drain marks. `marked` lists all endpoints that now carry a mark.
     pub(crate) fn set_marks(
         &self,
--- a/crates/node/src/handover.rs
+++ b/crates/node/src/handover.rs
@@ -12,8 +12,8 @@
 use tokio::time::timeout_at;
 use wire::Frame;
 
-use crate::announce;
 use crate::shared::{Node, lock};
+use crate::{announce, gossip};
 
 /// What this process knows of the departures that earlier processes of its node have acknowledged.
 #[derive(Default)]
@@ -46,6 +46,9 @@
     let revision = own.map(|stored| stored.revision);
     if lock(&node.handover.core).store_listed(era, revision, node.now()) {
         tokio::spawn(ask_other_nodes(Arc::clone(node)));
+        if era > 0 {
+            tokio::spawn(gossip::pull_retained(Arc::clone(node)));
+        }
     }
 }
 
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -15,7 +15,7 @@
 use peer::{ControlClient, LinkError, PeerHandler, PeerInfo, SentAttempt};
 use routing::FenceResult;
 pub(crate) use routing::Reachability;
-use wire::{Call, FenceStatus, Frame};
+use wire::{Call, FenceStatus, Frame, MAX_TRANSFER_BYTES};
 
 use crate::shared::{Node, Phase, SharedMap, lock, read, write};
 use crate::{evacuations, gossip, guard, node_record, sync};
@@ -356,6 +356,12 @@
                 let key = node_record::node_key(&peer.node);
                 Frame::Objects(Feed::Objects, read(&node.config).objects.copy_of(&key))
             }
+            Frame::PullRetained => {
+                let chunks = read(&node.config).objects.retained_copy(MAX_TRANSFER_BYTES);
+                let mut outgoing = lock(&node.peers.outgoing_transfers);
+                outgoing.insert(peer.node.clone(), (Feed::Objects, chunks));
+                next_chunk(&mut outgoing, &peer.node)
+            }
             Frame::PullMore => next_chunk(&mut lock(&node.peers.outgoing_transfers), &peer.node),
             Frame::Fence { attempt, start_by } => {
                 let status = node.guard.fence(attempt, start_by, node.now());
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -84,6 +84,8 @@
     pub slow_ms: u64,
     /// Number of following writes whose answer is replaced by a 504 after they took effect.
     pub lose_answers: u32,
+    /// Every write is refused with 503.
+    pub refuse_writes: bool,
 }
 
 /// Number of calls since the start, including refused ones.
@@ -317,6 +319,7 @@
     down: Option<bool>,
     slow_ms: Option<u64>,
     lose_answers: Option<u32>,
+    refuse_writes: Option<bool>,
 }
 
 enum Call {
@@ -389,6 +392,7 @@
         faults.down = change.down.unwrap_or(faults.down);
         faults.slow_ms = change.slow_ms.unwrap_or(faults.slow_ms);
         faults.lose_answers = change.lose_answers.unwrap_or(faults.lose_answers);
+        faults.refuse_writes = change.refuse_writes.unwrap_or(faults.refuse_writes);
         let answer = json_answer(200, faults);
         self.changed.notify_all();
         answer
@@ -426,6 +430,9 @@
             (_, Err(err)) => return self.lock().refuse(400, "invalid", &err.to_string()),
         };
         let mut state = self.lock();
+        if state.faults.refuse_writes {
+            return state.refuse(503, "unavailable", "");
+        }
         let answer = match call {
             Call::Create(kind) => state.create((kind, body.meta.name), body.spec),
             Call::Replace(id) => state.replace(id, body.meta.rev, body.spec),
--- a/crates/wire/src/encoding.rs
+++ b/crates/wire/src/encoding.rs
@@ -121,6 +121,8 @@
     Objects(u8, Option<u64>, u64, u64, u32, bool, Vec<WireObject>),
     #[serde(rename = "po")]
     PullOwnRecord,
+    #[serde(rename = "pr")]
+    PullRetained,
     #[serde(rename = "d")]
     Done,
     #[serde(rename = "c")]
@@ -171,6 +173,7 @@
             Frame::PullMore => WireFrame::PullMore,
             Frame::Objects(feed, transfer) => transfer_to_wire(*feed, transfer),
             Frame::PullOwnRecord => WireFrame::PullOwnRecord,
+            Frame::PullRetained => WireFrame::PullRetained,
             Frame::Done => WireFrame::Done,
             Frame::Call(call) => WireFrame::Call(Box::new(call.as_ref().into())),
             Frame::CallBody(part) => WireFrame::CallBody(body_to_wire(part)),
@@ -263,6 +266,7 @@
                 Frame::Objects(feed, transfer)
             }
             WireFrame::PullOwnRecord => Frame::PullOwnRecord,
+            WireFrame::PullRetained => Frame::PullRetained,
             WireFrame::Done => Frame::Done,
             WireFrame::Call(call) => Frame::Call(Box::new(Call::try_from(*call)?)),
             WireFrame::CallBody(part) => Frame::CallBody(body_from_wire(part)?),
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -213,6 +213,9 @@
     /// Requests the latest record of the sending node that the receiver has seen, from any process of
     /// that node. The reply is a transfer with one object or none.
     PullOwnRecord,
+    /// Requests the writes of the product's objects that are in effect at the receiver although the store
+    /// lacks them. The reply is the first part of a transfer.
+    PullRetained,
     /// The frame was processed.
     Done,
     /// An attempt to run a request.
--- a/crates/zinniacross/tests/common/mod.rs
+++ b/crates/zinniacross/tests/common/mod.rs
@@ -61,24 +61,34 @@
 
     /// The same, with further lines in the section `[node]` of the settings.
     pub fn start_with(count: usize, node_settings: &str) -> Fleet {
+        Fleet::start_all(count, node_settings, None)
+    }
+
+    /// The same, with a store that tells this era.
+    pub fn start_in(count: usize, era: u64) -> Fleet {
+        Fleet::start_all(count, "", Some(era))
+    }
+
+    fn start_all(count: usize, node_settings: &str, era: Option<u64>) -> Fleet {
         for _ in 0..2 {
-            match Fleet::try_start(count, node_settings) {
+            match Fleet::try_start(count, node_settings, era) {
                 Ok(fleet) => return fleet,
                 // Another test may have taken a port between its choice and its use.
                 Err(reason) if reason.contains("Address already in use") => {}
                 Err(reason) => panic!("the fleet does not start: {reason}"),
             }
         }
-        Fleet::try_start(count, node_settings).unwrap()
+        Fleet::try_start(count, node_settings, era).unwrap()
     }
 
-    fn try_start(count: usize, node_settings: &str) -> Result<Fleet, String> {
+    fn try_start(count: usize, node_settings: &str, era: Option<u64>) -> Result<Fleet, String> {
         let rt = tokio::runtime::Builder::new_multi_thread()
             .worker_threads(2)
             .enable_all()
             .build()
             .unwrap();
         let platform = PlatformStandin::start(LOCAL, PlatformConfig::default()).unwrap();
+        era.iter().for_each(|era| platform.tell_era(*era));
         let store = HttpStore::new(&platform.url(), HttpStoreConfig::default()).unwrap();
         let mut fleet = Fleet {
             nodes: Vec::new(),
--- a/crates/zinniacross/tests/restores.rs
+++ b/crates/zinniacross/tests/restores.rs
@@ -8,8 +8,11 @@
 
 use common::imported::{ImportedFleet, SOON};
 use common::site::{Mode, Site, send, status};
-use common::{millis, seconds};
+use common::{Fleet, millis, seconds};
+use model::Kind;
+use standins::platform::Faults;
 use standins::process::{Signal, wait_until};
+use standins::upstream::Behaviour;
 
 /// Time for which the store is away.
 const AWAY: Duration = Duration::from_millis(400);
@@ -230,3 +233,41 @@
         assert!(wait_until(SOON, || fleet.stored(&name).contains(r#""era":2"#)), "{name}");
     }
 }
+
+/// Guards against a withdrawn key that works again at a node which starts after the restore, until another
+/// node has withdrawn it again in the store.
+#[test]
+fn a_node_that_starts_after_the_restore_knows_a_withdrawn_key() {
+    const STARTS_AGAIN: usize = 1;
+    let mut fleet = Fleet::start_in(2, 1);
+    fleet.upstream(0, "orders", 8, Behaviour::default());
+    fleet.route("orders", "keyed", 3000);
+    let key = fleet.account("garden", 10_000, 10_000);
+    fleet.wait_served("/orders/ready", Some(&key));
+    thread::sleep(seconds(2));
+    let withdrawn_at = fleet.withdraw(&key);
+    let is_refused = |fleet: &Fleet, node: usize| {
+        fleet.caller(node).get("/orders/1", Some(&key)).is_ok_and(|answer| answer.code() == 1003)
+    };
+    assert!(
+        wait_until(SOON, || (0..2).all(|node| is_refused(&fleet, node))),
+        "withdrawn everywhere"
+    );
+
+    // No node can withdraw it again in the store.
+    fleet.platform.set_faults(Faults { refuse_writes: true, ..Faults::default() });
+    fleet.kill(STARTS_AGAIN);
+    fleet.platform.restore(withdrawn_at.elapsed() + millis(500), AWAY);
+    assert!(fleet.read(Kind::Key, key.id().as_str()).is_some(), "the store has the key again");
+    fleet.start_again(STARTS_AGAIN);
+    assert!(wait_until(SOON, || is_refused(&fleet, STARTS_AGAIN)), "the key is withdrawn");
+    let started = Instant::now();
+    while started.elapsed() < WATCHED {
+        assert!((0..2).all(|node| is_refused(&fleet, node)), "after {:?}", started.elapsed());
+        thread::sleep(millis(50));
+    }
+    fleet.platform.set_faults(Faults::default());
+    let is_gone =
+        || fleet.read(Kind::Key, key.id().as_str()).is_none_or(|key| key.object.is_none());
+    assert!(wait_until(SOON, is_gone), "it is withdrawn in the store");
+}
