Give evacuations that the store lost to a node that starts

Callers: after a restore of the store that had lost an evacuation, a node that started did not know it, while the running nodes kept it in effect. The node used the endpoint of its own instance in the evacuated failure domain. Found by reading the paths related to the lost departure.

What a restored store lacks is kept beside it and was sent to nobody.

Change: after its start a node asks peers what they retain and for how long still.

--- a/crates/evacuation/src/evacuations.rs
+++ b/crates/evacuation/src/evacuations.rs
@@ -18,6 +18,10 @@
 /// so it must not last for ever.
 const RETAIN_FOR: Duration = Duration::from_secs(60);
 
+/// Shortest rest of that time that is taken over from a peer. The time on the way is added to it, so nodes
+/// that tell each other of the last moments would prolong the evacuation.
+const MIN_RETAINED: Duration = Duration::from_secs(1);
+
 /// All evacuated failure domains at one revision of the store.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct Snapshot {
@@ -150,6 +154,43 @@
         self.snapshot.as_ref()
     }
 
+    /// Returns the evacuations that a restored store lacks, with the time that is left of them.
+    pub fn retained(&self, now: Time) -> Vec<(FailureDomain, Duration)> {
+        let left = self.retained.iter().map(|(domain, until)| (domain.clone(), until.since(now)));
+        left.filter(|(_, left)| !left.is_zero()).collect()
+    }
+
+    /// Takes over the evacuations that a peer retains, which has the snapshot of `revision`. Returns `None`
+    /// if this node has another one: an operator may have repeated and ended an evacuation in between.
+    ///
+    /// ```
+    /// use evacuation::{Evacuations, Pace, Snapshot};
+    /// use model::{Revision, Time};
+    /// use std::time::Duration;
+    ///
+    /// let mut evacuations = Evacuations::new(Pace::for_bound(Duration::from_secs(5)));
+    /// let revision = Revision::new(2, 7);
+    /// let lost = vec![("mid-a".parse().unwrap(), Duration::from_secs(40))];
+    /// assert_eq!(evacuations.apply_retained(revision, lost.clone(), Time::ZERO), None);
+    /// evacuations.apply(Snapshot { revision, ..Snapshot::default() }, None, Time::ZERO);
+    /// assert!(evacuations.apply_retained(revision, lost, Time::ZERO).is_some());
+    /// assert!(evacuations.is_evacuated(&"mid-a".parse().unwrap()));
+    /// ```
+    pub fn apply_retained(
+        &mut self,
+        revision: Revision,
+        lost: Vec<(FailureDomain, Duration)>,
+        now: Time,
+    ) -> Option<Change> {
+        let snapshot = self.snapshot.as_ref().filter(|known| known.revision == revision)?;
+        for (domain, left) in lost {
+            if left >= MIN_RETAINED && !snapshot.domains.contains(&domain) {
+                self.retained.entry(domain).or_insert(now + left.min(RETAIN_FOR));
+            }
+        }
+        Some(self.refresh(now))
+    }
+
     /// Returns how long ago the snapshot was confirmed, if it was.
     pub fn age(&self, now: Time) -> Option<Duration> {
         self.confirmed_at.map(|at| now.since(at))
--- a/crates/evacuation/tests/evacuations.rs
+++ b/crates/evacuation/tests/evacuations.rs
@@ -109,6 +109,37 @@
     assert_eq!(change, Change::Domains { begun: vec![], ended: vec![domain("b")] });
 }
 
+/// Guards against an evacuation that a node which has started since the restore does not know, that lasts
+/// longer there, or that comes back from a peer which has not seen its end.
+#[test]
+fn a_node_takes_over_what_a_peer_retains() {
+    let mut running = evacuations();
+    running.apply(snapshot(70, &["a", "b", "c"]), None, at(0));
+    running.apply(snapshot(NEXT_ERA + 60, &["b"]), None, at(1000));
+    let mut started = evacuations();
+    let revision = Revision(NEXT_ERA + 60);
+    assert_eq!(started.apply_retained(revision, running.retained(at(11_000)), at(0)), None);
+    started.apply(snapshot(NEXT_ERA + 60, &["b"]), None, at(0));
+    // The clocks of the nodes differ by 11 s.
+    let change = started.apply_retained(revision, running.retained(at(11_000)), at(0));
+    let begun = vec![domain("a"), domain("c")];
+    assert_eq!(change, Some(Change::Domains { begun, ended: vec![] }));
+    let again = started.apply_retained(revision, running.retained(at(12_000)), at(5000));
+    assert_eq!(again, Some(Change::None));
+    assert_eq!(started.tick(at(49_999)), Change::None);
+    assert!(matches!(started.tick(at(50_000)), Change::Domains { .. }));
+    assert_eq!(**started.domains(), domains(&["b"]));
+
+    // The last moments are not taken over, and nothing of an earlier snapshot.
+    let late = started.apply_retained(revision, running.retained(at(60_500)), at(50_000));
+    assert_eq!(late, Some(Change::None));
+    started.apply(snapshot(NEXT_ERA + 61, &[]), None, at(51_000));
+    assert_eq!(
+        started.apply_retained(revision, vec![(domain("a"), Duration::from_secs(9))], at(51_000)),
+        None
+    );
+}
+
 /// Guards against intervals that a very short bound would make so short that the store is flooded, and
 /// against long ones.
 #[test]
--- a/crates/node/src/evacuations.rs
+++ b/crates/node/src/evacuations.rs
@@ -13,9 +13,10 @@
 
 use evacuation::{Change, Evacuations, Pace, Snapshot, Step};
 use log::{info, warn};
-use model::{FailureDomain, NodeName, Time};
+use model::{FailureDomain, NodeName, Revision, Time};
+use peer::ControlReply;
 use rand::RngExt;
-use rand::seq::IndexedRandom;
+use rand::seq::{IndexedRandom, SliceRandom};
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, sleep_until};
 use wire::Frame;
@@ -59,6 +60,14 @@
 /// The same while what this node knows has not been confirmed for too long.
 const OUTAGE_CROSS_DOMAIN_DIVISOR: u32 = 2;
 
+/// Number of peers whose retained evacuations a node takes over after its start, and of questions at most.
+/// A peer whose snapshot differs is asked again later.
+const RETAINING_PEERS: usize = 3;
+const MAX_RETAINED_QUESTIONS: usize = 12;
+
+/// Time between two such questions, if an answer could not be used.
+const RETAINED_INTERVAL: Duration = Duration::from_millis(400);
+
 /// Minimum interval between two questions to peers that have refused calls because of an evacuation of
 /// which this node does not know.
 const ASK_PEER_INTERVAL: Duration = Duration::from_millis(100);
@@ -116,6 +125,11 @@
         lock(&self.core).snapshot().is_some_and(|known| known.domains == snapshot.domains)
     }
 
+    /// Revision of the latest snapshot; zero without one.
+    fn revision(&self) -> Revision {
+        lock(&self.core).snapshot().map_or(Revision::ZERO, |known| known.revision)
+    }
+
     fn is_known(&self) -> bool {
         lock(&self.core).snapshot().is_some()
     }
@@ -246,6 +260,57 @@
     peers.choose(&mut rand::rng()).cloned()
 }
 
+/// Takes over the evacuations that peers retain after a restore of the store. A node that has started since
+/// then finds them neither in the store nor in a snapshot.
+pub(crate) async fn pull_retained(node: Arc<Node>) {
+    if !node.evacuations.is_enabled {
+        return;
+    }
+    while !node.evacuations.is_known() || node.peers.count() == 0 {
+        sleep(START_COMPARE_INTERVAL).await;
+    }
+    // Era 0 is that of a store that tells no restores.
+    if node.evacuations.revision().era() == 0 {
+        return;
+    }
+    let mut peers = node.peers.all();
+    peers.shuffle(&mut rand::rng());
+    let mut usable = 0;
+    for peer in peers.iter().cycle().take(MAX_RETAINED_QUESTIONS) {
+        match pull_retained_from(&node, peer).await {
+            true => usable += 1,
+            false => {
+                compare(Arc::clone(&node), Arc::clone(peer)).await;
+                sleep(RETAINED_INTERVAL).await;
+            }
+        }
+        if usable == RETAINING_PEERS {
+            return;
+        }
+    }
+}
+
+/// Returns whether the answer of the peer could be used.
+async fn pull_retained_from(node: &Arc<Node>, peer: &Peer) -> bool {
+    let reply = peer.control.request(Frame::PullRetainedEvacuations).await;
+    // An error means that the peer can't be reached, or that it is of an earlier version and closes the link.
+    let Ok(ControlReply { frame: Frame::RetainedEvacuations { revision, retained }, .. }) = reply
+    else {
+        return false;
+    };
+    let change = lock(&node.evacuations.core).apply_retained(revision, retained, node.now());
+    let is_usable = change.is_some();
+    react(node, change.unwrap_or(Change::None), peer.name.as_str());
+    is_usable
+}
+
+/// What this node retains, for a peer.
+pub(crate) fn retained_frame(node: &Node) -> Frame {
+    let revision = node.evacuations.revision();
+    let retained = lock(&node.evacuations.core).retained(node.now());
+    Frame::RetainedEvacuations { revision, retained }
+}
+
 /// Sends what this node knows to a peer, and takes over what the peer knows.
 async fn compare(node: Arc<Node>, peer: Arc<Peer>) {
     let asked_at = node.now();
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -149,6 +149,7 @@
     tasks.spawn(gossip::announce_changes(Arc::clone(&node)));
     tasks.spawn(evacuations::follow_platform(Arc::clone(&node)));
     tasks.spawn(evacuations::compare_with_peers(Arc::clone(&node)));
+    tasks.spawn(evacuations::pull_retained(Arc::clone(&node)));
     tasks.spawn(evacuations::announce_changes(Arc::clone(&node)));
     tasks.spawn(node_record::register(Arc::clone(&node)));
     tasks.spawn(node_record::remove_dead_members(Arc::clone(&node)));
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -348,6 +348,7 @@
                 evacuations::receive(node, &peer.node, snapshot, confirmed_ago);
                 evacuations::own_frame(node)
             }
+            Frame::PullRetainedEvacuations => evacuations::retained_frame(node),
             Frame::Objects(feed, transfer) => {
                 gossip::receive_supply(node, &peer.node, feed, transfer);
                 Frame::Done
--- a/crates/wire/src/encoding.rs
+++ b/crates/wire/src/encoding.rs
@@ -113,6 +113,10 @@
     Compare(WireRevisions, Option<u64>),
     #[serde(rename = "ev")]
     Evacuations(Option<WireSnapshot>, Option<u64>),
+    #[serde(rename = "pe")]
+    PullRetainedEvacuations,
+    #[serde(rename = "er")]
+    RetainedEvacuations(u64, Vec<(String, u64)>),
     #[serde(rename = "pu")]
     Pull(u8, u64),
     #[serde(rename = "pm")]
@@ -169,6 +173,13 @@
                 snapshot.as_ref().map(snapshot_to_wire),
                 confirmed_ago.map(|ago| ago.as_micros() as u64),
             ),
+            Frame::PullRetainedEvacuations => WireFrame::PullRetainedEvacuations,
+            Frame::RetainedEvacuations { revision, retained } => {
+                let retained = retained.iter();
+                let retained =
+                    retained.map(|(domain, left)| (domain.to_string(), left.as_micros() as u64));
+                WireFrame::RetainedEvacuations(revision.0, retained.collect())
+            }
             Frame::Pull(feed, from) => WireFrame::Pull(feed_to_wire(*feed, *from), from.0),
             Frame::PullMore => WireFrame::PullMore,
             Frame::Objects(feed, transfer) => transfer_to_wire(*feed, transfer),
@@ -250,6 +261,16 @@
                 snapshot: snapshot.map(snapshot_from_wire).transpose()?,
                 confirmed_ago: confirmed_ago.map(Duration::from_micros),
             },
+            WireFrame::PullRetainedEvacuations => Frame::PullRetainedEvacuations,
+            WireFrame::RetainedEvacuations(revision, retained) => {
+                let retained = retained
+                    .into_iter()
+                    .map(|(domain, micros)| Ok((parse_id(domain)?, Duration::from_micros(micros))));
+                Frame::RetainedEvacuations {
+                    revision: Revision(revision),
+                    retained: retained.collect::<Result<_, DecodeError>>()?,
+                }
+            }
             WireFrame::Pull(feed, from) => Frame::Pull(feed_from_wire(feed)?, Revision(from)),
             WireFrame::PullMore => Frame::PullMore,
             WireFrame::Objects(feed, from, compact_revision, to, index, last, objects) => {
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -204,6 +204,15 @@
         /// Age of its confirmation when the frame was sent.
         confirmed_ago: Option<Duration>,
     },
+    /// Requests the evacuations that are in effect at the receiver although the store lacks them.
+    PullRetainedEvacuations,
+    /// Reply to `PullRetainedEvacuations`.
+    RetainedEvacuations {
+        /// Revision of the sender's latest snapshot; zero if it has none.
+        revision: Revision,
+        /// The failure domains, with the time that was left of each evacuation when the frame was sent.
+        retained: Vec<(FailureDomain, Duration)>,
+    },
     /// Requests the objects of a feed that changed after a revision.
     Pull(Feed, Revision),
     /// Requests the next part of the transfer that a pull started.
--- a/crates/wire/tests/frames.rs
+++ b/crates/wire/tests/frames.rs
@@ -260,6 +260,14 @@
                 confirmed_ago: Some(Duration::from_millis(5)),
             },
         ),
+        ("PullRetainedEvacuations", Frame::PullRetainedEvacuations),
+        (
+            "RetainedEvacuations",
+            Frame::RetainedEvacuations {
+                revision: Revision(9),
+                retained: vec![(id("mid-a"), Duration::from_millis(40_000))],
+            },
+        ),
         ("Done", Frame::Done),
     ]
 }
--- a/crates/zinniacross/tests/common/imported.rs
+++ b/crates/zinniacross/tests/common/imported.rs
@@ -44,6 +44,11 @@
         ImportedFleet::start_all(domains, setting, None, EMPTY_CONFIG)
     }
 
+    /// The same with a store that is in this era.
+    pub fn start_in_era(domains: &[&str], setting: &str, era: u64) -> ImportedFleet {
+        ImportedFleet::start_all(domains, setting, Some(era), EMPTY_CONFIG)
+    }
+
     /// Starts `count` nodes with a configuration, in a store that is in this era, if it tells one.
     pub fn start_with(count: usize, era: Option<u64>, config: &str) -> ImportedFleet {
         ImportedFleet::start_all(&vec!["mid-a"; count], "", era, config)
--- a/crates/zinniacross/tests/evacuations.rs
+++ b/crates/zinniacross/tests/evacuations.rs
@@ -231,3 +231,26 @@
         done.iter().filter(|call| !call.is_served()).map(common::Done::code).collect();
     assert!(failed.is_empty(), "{failed:?} of {} calls", done.len());
 }
+
+/// Guards against calls to an evacuated failure domain through a node that has started since the store lost
+/// the evacuation in a restore, while the other nodes keep it in effect.
+#[test]
+fn a_node_that_starts_after_a_restore_learns_of_evacuations_that_the_store_lost() {
+    const STARTS_AGAIN: usize = 1;
+    let mut fleet = ImportedFleet::start_in_era(&["mid-a", "mid-b", "mid-c"], SETTING, 1);
+    thread::sleep(seconds(2));
+    let began = Instant::now();
+    fleet.create("evacuations", "mid-b", "{}");
+    time_until_known(&fleet, &[0, 1, 2], 1);
+    fleet.kill(STARTS_AGAIN);
+    fleet.platform.restore(began.elapsed() + millis(500), millis(400));
+    fleet.start_again(STARTS_AGAIN);
+    time_until_known(&fleet, &[STARTS_AGAIN], 1);
+    let started = Instant::now();
+    while started.elapsed() < seconds(5) {
+        for node in 0..3 {
+            assert_eq!(fleet.metric(node, "evacuated_domains"), 1, "node {node}");
+        }
+        thread::sleep(millis(100));
+    }
+}
