Request the parts of a retained transfer by number

Found while reading the change: the parts of a transfer that a node pulls are kept at the peer, one transfer for each node. A pull of a full copy at the same time replaced the retained writes, and the next part of the copy could have been taken for one of them.

The request now names the part, and the peer keeps nothing. A part at another revision than the first one ends the exchange, which is repeated.

--- a/crates/node/src/evacuations.rs
+++ b/crates/node/src/evacuations.rs
@@ -266,9 +266,12 @@
     if !node.evacuations.is_enabled {
         return;
     }
-    while !node.evacuations.is_known() || node.peers.count() == 0 {
+    while !node.evacuations.is_known() {
         sleep(START_COMPARE_INTERVAL).await;
     }
+    while node.peers.count() == 0 {
+        sleep(COMPARE_INTERVAL).await;
+    }
     // Era 0 is that of a store that tells no restores.
     if node.evacuations.revision().era() == 0 {
         return;
--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -340,24 +340,28 @@
 }
 
 async fn pull_retained_from(node: &Arc<Node>, peer: &Peer) -> RetainedAnswer {
-    let (mut lost, mut next) = (Vec::new(), Frame::PullRetained);
-    loop {
-        let reply = peer.control.request(next).await;
+    let mut lost: Vec<StoredObject> = Vec::new();
+    let mut revision = None;
+    for index in 0.. {
+        let reply = peer.control.request(Frame::PullRetained(index)).await;
         let Ok(ControlReply { frame: Frame::Objects(Feed::Objects, chunk), .. }) = reply else {
             return RetainedAnswer::Unusable;
         };
+        // What the peer retains may change between two parts.
+        if *revision.get_or_insert(chunk.to) != chunk.to {
+            return RetainedAnswer::Unusable;
+        }
         lost.extend(chunk.objects);
-        if !chunk.last {
-            next = Frame::PullMore;
-            continue;
+        if chunk.last {
+            let is_earlier = chunk.compact_revision.era() < chunk.to.era();
+            return match take_over_retained(node, peer, chunk.to, lost) {
+                Applied::Gap | Applied::Malformed => RetainedAnswer::Unusable,
+                Applied::Applied | Applied::AlreadyKnown if is_earlier => RetainedAnswer::RanBefore,
+                Applied::Applied | Applied::AlreadyKnown => RetainedAnswer::StartedSince,
+            };
         }
-        let is_earlier = chunk.compact_revision.era() < chunk.to.era();
-        return match take_over_retained(node, peer, chunk.to, lost) {
-            Applied::Gap | Applied::Malformed => RetainedAnswer::Unusable,
-            Applied::Applied | Applied::AlreadyKnown if is_earlier => RetainedAnswer::RanBefore,
-            Applied::Applied | Applied::AlreadyKnown => RetainedAnswer::StartedSince,
-        };
     }
+    RetainedAnswer::Unusable
 }
 
 fn take_over_retained(
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -357,11 +357,10 @@
                 let key = node_record::node_key(&peer.node);
                 Frame::Objects(Feed::Objects, read(&node.config).objects.copy_of(&key))
             }
-            Frame::PullRetained => {
-                let chunks = read(&node.config).objects.retained_copy(MAX_TRANSFER_BYTES);
-                let mut outgoing = lock(&node.peers.outgoing_transfers);
-                outgoing.insert(peer.node.clone(), (Feed::Objects, chunks));
-                next_chunk(&mut outgoing, &peer.node)
+            Frame::PullRetained(index) => {
+                let mut chunks = read(&node.config).objects.retained_copy(MAX_TRANSFER_BYTES);
+                let chunk = chunks.nth(index as usize);
+                chunk.map_or(Frame::Done, |chunk| Frame::Objects(Feed::Objects, chunk))
             }
             Frame::PullMore => next_chunk(&mut lock(&node.peers.outgoing_transfers), &peer.node),
             Frame::Fence { attempt, start_by } => {
--- a/crates/wire/src/encoding.rs
+++ b/crates/wire/src/encoding.rs
@@ -126,7 +126,7 @@
     #[serde(rename = "po")]
     PullOwnRecord,
     #[serde(rename = "pr")]
-    PullRetained,
+    PullRetained(u32),
     #[serde(rename = "d")]
     Done,
     #[serde(rename = "c")]
@@ -184,7 +184,7 @@
             Frame::PullMore => WireFrame::PullMore,
             Frame::Objects(feed, transfer) => transfer_to_wire(*feed, transfer),
             Frame::PullOwnRecord => WireFrame::PullOwnRecord,
-            Frame::PullRetained => WireFrame::PullRetained,
+            Frame::PullRetained(index) => WireFrame::PullRetained(*index),
             Frame::Done => WireFrame::Done,
             Frame::Call(call) => WireFrame::Call(Box::new(call.as_ref().into())),
             Frame::CallBody(part) => WireFrame::CallBody(body_to_wire(part)),
@@ -287,7 +287,7 @@
                 Frame::Objects(feed, transfer)
             }
             WireFrame::PullOwnRecord => Frame::PullOwnRecord,
-            WireFrame::PullRetained => Frame::PullRetained,
+            WireFrame::PullRetained(index) => Frame::PullRetained(index),
             WireFrame::Done => Frame::Done,
             WireFrame::Call(call) => Frame::Call(Box::new(Call::try_from(*call)?)),
             WireFrame::CallBody(part) => Frame::CallBody(body_from_wire(part)?),
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -223,8 +223,9 @@
     /// that node. The reply is a transfer with one object or none.
     PullOwnRecord,
     /// Requests the writes of the product's objects that are in effect at the receiver although the store
-    /// lacks them. The reply is the first part of a transfer.
-    PullRetained,
+    /// lacks them. The reply is the part of a transfer with this index, or `Done` if there is none. Unlike a
+    /// pull, this leaves no state at the receiver, so other transfers between the nodes don't interfere.
+    PullRetained(u32),
     /// The frame was processed.
     Done,
     /// An attempt to run a request.
--- a/crates/wire/tests/frames.rs
+++ b/crates/wire/tests/frames.rs
@@ -243,7 +243,7 @@
         ("Pull", Frame::Pull(Feed::Imported, Revision(5))),
         ("PullMore", Frame::PullMore),
         ("PullOwnRecord", Frame::PullOwnRecord),
-        ("PullRetained", Frame::PullRetained),
+        ("PullRetained", Frame::PullRetained(2)),
         ("Revisions", Frame::Revisions(Revisions { objects: Revision(5), imported: Revision(6) })),
         (
             "Compare",
