Log by how many endpoints a guard divides the spare retries

Neither log nor metrics could tell the hypotheses for repeats beyond the budget apart: a guard logged that a call is a retry, not which part of the service's spare retries it could use, and retries that it refused were not counted.

The call line has retry_parts, zinniacross_guard_retries_total counts retries by the decision about them. The limit moves from guard.rs into a module of its own and is otherwise unchanged.

--- a/crates/node/src/call_log.rs
+++ b/crates/node/src/call_log.rs
@@ -9,6 +9,7 @@
 use wire::Call;
 
 use crate::logging;
+use crate::retry_limits::RetryPart;
 use crate::shared::{Node, read};
 
 /// A call at the guard. Its log line is written on drop, so that a call whose entry node
@@ -23,6 +24,8 @@
     is_idempotent: bool,
     accepts_suspect: bool,
     is_retry: bool,
+    /// Number of endpoints by which the guard has divided the spare retries of the service.
+    retry_parts: Option<usize>,
     /// Time left until the route's latency goal, if it has one; zero if that has passed.
     time_to_goal: Option<Duration>,
     /// Longest time that the call may wait for a slot.
@@ -50,6 +53,7 @@
             is_idempotent: call.idempotent,
             accepts_suspect: call.accepts_suspect,
             is_retry: call.is_retry,
+            retry_parts: None,
             time_to_goal: call.goal_by.map(|goal_by| goal_by.since(arrived)),
             max_wait: call.queue_until.since(arrived),
             time_to_start: call.start_by.since(arrived),
@@ -59,6 +63,11 @@
         }
     }
 
+    /// Records the part of the spare retries that the call may use.
+    pub(crate) fn record_retry_part(&mut self, part: RetryPart) {
+        self.retry_parts = Some(part.endpoints);
+    }
+
     /// Records that the call has got a slot.
     pub(crate) fn record_start(&mut self) {
         self.started = Some(self.node.now());
@@ -87,6 +96,7 @@
             "idempotent": self.is_idempotent,
             "insists": self.accepts_suspect,
             "retry": self.is_retry,
+            "retry_parts": self.retry_parts,
             "goal_ms": self.time_to_goal.map(|goal| goal.as_millis() as u64),
             "may_wait_ms": self.max_wait.as_millis() as u64,
             "left_ms": self.time_to_start.as_millis() as u64,
--- a/crates/node/src/guard.rs
+++ b/crates/node/src/guard.rs
@@ -8,7 +8,7 @@
 use admission::{
     Attempt, AttemptDecision, AttemptKind, CancelOutcome, Check, Checks, ColdChange, ColdLimit,
     ColdNotice, Decision, DrainState, FenceAnswer, Guard, GuardLimits, InitialRetries,
-    OverloadControl, RETRY_WINDOW, RateStatus, RetryLimit, StopState, WaitLimit,
+    OverloadControl, RETRY_WINDOW, RateStatus, StopState, WaitLimit,
 };
 use config::{Replica, Revisions};
 use health::{CallResult, EndpointHealth, HealthDecision};
@@ -24,6 +24,8 @@
 use wire::{Call, EndpointLoad, FenceStatus};
 
 use crate::call_log::CallLog;
+use crate::metrics::GuardRetryLabel;
+use crate::retry_limits::RetryPart;
 use crate::shared::{Node, SharedMap, lock, read};
 use crate::upstream_call;
 
@@ -33,11 +35,6 @@
 /// Shortest interval between two queue checks.
 const MIN_TICK_INTERVAL: Duration = Duration::from_millis(2);
 
-/// Percentage of a service's spare retries that is split among its endpoints. The rest is a margin:
-/// each node divides by the number of endpoints that it knows of, and nodes disagree on that number
-/// while it changes.
-const ASSIGNED_SPARE_RETRIES_PERCENT: u32 = 75;
-
 /// Fair-share weight of all calls on open routes combined, relative to the rates of the accounts.
 const OPEN_ROUTE_RATE: Rate = Rate::per_second(100);
 
@@ -425,7 +422,9 @@
         return refused(node, &call, ResultCode::EndpointUnknown);
     };
     let refused = |code| refused(node, &call, code);
-    let active = match submit(node, &call) {
+    let retry_part = RetryPart::of(node, &call);
+    log.record_retry_part(retry_part);
+    let active = match submit(node, &call, retry_part) {
         Submitted::Refused(code) => return refused(code),
         Submitted::Started(active) => active,
         Submitted::Queued(active, rx) => match rx.await {
@@ -458,7 +457,7 @@
     Refused(ResultCode),
 }
 
-fn submit(node: &Arc<Node>, call: &Call) -> Submitted {
+fn submit(node: &Arc<Node>, call: &Call, retry_part: RetryPart) -> Submitted {
     let id = call.attempt;
     let attempt = Attempt {
         id,
@@ -476,7 +475,7 @@
             true => AttemptKind::Retry,
             false => AttemptKind::First { retry_origin_percent: call.retry_origin_percent },
         },
-        retry_limit: retry_limit(node, call),
+        retry_limit: retry_part.limit(node, call),
         is_idempotent: call.idempotent,
         accepts_suspect: call.accepts_suspect,
     };
@@ -492,6 +491,9 @@
     let mut decisions = core.submit(attempt, node.now(), &checks).into_iter();
     let decision = decisions.next().map(|d| d.decision);
     state.dispatch(decisions);
+    if call.is_retry {
+        count_retry(node, decision);
+    }
     let active = || ActiveAttempt { node: Arc::clone(node), id };
     match decision {
         Some(Decision::Start) => Submitted::Started(active()),
@@ -513,18 +515,14 @@
     }
 }
 
-/// Retry limit of an endpoint: the retry budget of the route, and this endpoint's part of the spare
-/// retries of its service.
-fn retry_limit(node: &Node, call: &Call) -> RetryLimit {
-    let share =
-        read(&node.config).route_by_name(&call.route).map(|route| route.policy().retry_budget);
-    let service = lock(&node.announcements).endpoint(&call.endpoint).map(|e| e.service.clone());
-    let endpoints =
-        service.map_or(1, |service| read(&node.directory).endpoints_of(&service).len().max(1));
-    let spare = u64::from(node.settings.upstream.spare_retries);
-    let spare_milli = spare * u64::from(ASSIGNED_SPARE_RETRIES_PERCENT) * 10 / endpoints as u64;
-    let spare_milli = u32::try_from(spare_milli).unwrap_or(u32::MAX);
-    RetryLimit { share: share.unwrap_or_default(), spare_milli }
+/// Counts a retry by what the guard has decided about it.
+fn count_retry(node: &Node, decision: Option<Decision>) {
+    let end = match decision {
+        Some(Decision::Start | Decision::Queued) => "accepted",
+        Some(Decision::Refuse(ResultCode::RetriesExhausted)) => "exhausted",
+        _ => "refused",
+    };
+    node.metrics.guard_retries.get_or_create(&GuardRetryLabel { end }).inc();
 }
 
 /// Rate of the client account of a call. Slots are shared in proportion to it.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -25,6 +25,7 @@
 mod records;
 mod reload;
 mod retries;
+mod retry_limits;
 mod rewriting;
 mod sending;
 mod shared;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -25,12 +25,20 @@
     pub(crate) met: &'static str,
 }
 
+/// Label set with what the guard has decided about a retry.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct GuardRetryLabel {
+    /// `accepted`, `exhausted` if the retries of the service are used up, or `refused` for another reason.
+    pub(crate) end: &'static str,
+}
+
 /// The metrics and the registry that exports them.
 pub(crate) struct Metrics {
     pub(crate) registry: Arc<Registry>,
     pub(crate) requests: Family<RequestEndLabel, Counter>,
     pub(crate) retries: Counter,
     pub(crate) hedges: Counter,
+    pub(crate) guard_retries: Family<GuardRetryLabel, Counter>,
     pub(crate) fences: Counter,
     pub(crate) suspicions: Counter,
     pub(crate) request_seconds: Histogram,
@@ -67,6 +75,7 @@
             requests: Family::default(),
             retries: Counter::default(),
             hedges: Counter::default(),
+            guard_retries: Family::default(),
             fences: Counter::default(),
             suspicions: Counter::default(),
             request_seconds: Histogram::new(exponential_buckets(0.001, 2.0, 14)),
@@ -104,6 +113,11 @@
         r.register("requests", "Requests by outcome", self.requests.clone());
         r.register("retries", "Attempts after the first one of a request", self.retries.clone());
         r.register("hedges", "Second attempts started beside a running one", self.hedges.clone());
+        r.register(
+            "guard_retries",
+            "Retries at the guard of this node by its decision",
+            self.guard_retries.clone(),
+        );
         r.register("fences", "Attempts fenced after an unknown outcome", self.fences.clone());
         r.register(
             "suspicions",
