Add failing tests of repeats beyond the budget

The stand-in of an upstream records arrivals with their time, also of calls that it refuses.

retries_at of the test may grant up to 1,000 retries at a guard instead of 100, as more than 100 are granted now.

--- a/crates/admission/tests/retries.rs
+++ b/crates/admission/tests/retries.rs
@@ -51,10 +51,19 @@
         }
     }
 
+    /// Removes the endpoint of each guard and announces it again.
+    fn remove_and_return(&mut self, now: u64) {
+        for guard in &mut self.guards {
+            guard.remove_endpoint(&endpoint(), ms(now), &allow);
+            let slots = Slots(100_000);
+            guard.update_endpoint(&endpoint(), slots, EndpointState::Ready, ms(now), &allow);
+        }
+    }
+
     /// Number of retries that the endpoints take now.
     fn retries_at(&mut self, now: u64) -> usize {
         (0..self.guards.len())
-            .map(|guard| (0..100).take_while(|_| self.retry(guard, now)).count())
+            .map(|guard| (0..1000).take_while(|_| self.retry(guard, now)).count())
             .sum()
     }
 
@@ -265,6 +274,50 @@
     }
 }
 
+/// Guards against spare retries that an endpoint gets anew each time it is removed and comes back, as one does
+/// that refuses connections at times.
+#[test]
+fn endpoints_that_return_get_no_new_retries() {
+    let mut service = Service::with_endpoints(8);
+    let mut granted = Vec::new();
+    for second in 10..40_u64 {
+        granted.push(service.retries_at(second * 1000));
+        service.remove_and_return(second * 1000 + 500);
+        granted.push(service.retries_at(second * 1000 + 500));
+    }
+    let most = granted.windows(20).map(|window| window.iter().sum::<usize>()).max().unwrap();
+    assert!(most <= ALLOWED_SPARE_RETRIES as usize, "{most} retries in 10 s");
+}
+
+/// Guards against retries that the processes before and after a start of all guards grant together.
+#[test]
+fn one_start_of_all_guards_stays_within_the_limit() {
+    const ENDPOINTS: usize = 8;
+    const CALLS_PER_SECOND: u64 = 200;
+    for outage_from in 10..30 {
+        let mut service = Service::with_endpoints(ENDPOINTS);
+        let mut granted = Vec::new();
+        for second in 0..50_u64 {
+            let start = second * 1000;
+            if second == 20 {
+                service.restart(ENDPOINTS, Some(0), start);
+            }
+            for call in 0..CALLS_PER_SECOND {
+                service.call(
+                    call as usize % ENDPOINTS,
+                    FIRST,
+                    start + call * 1000 / CALLS_PER_SECOND,
+                );
+            }
+            let is_outage = second >= outage_from;
+            granted.push(if is_outage { service.retries_at(start + 999) } else { 0 });
+        }
+        let bound = CALLS_PER_SECOND * 10 / 5 + ALLOWED_SPARE_RETRIES;
+        let most = granted.windows(10).map(|window| window.iter().sum::<usize>()).max().unwrap();
+        assert!(most as u64 <= bound, "outage from {outage_from} s: {most} retries, bound {bound}");
+    }
+}
+
 /// Guards against first attempts that allow retries although they are refused in the queue: each of them
 /// goes to another endpoint, so a call would allow retries at each endpoint that it waits at.
 #[test]
--- a/crates/standins/src/upstream.rs
+++ b/crates/standins/src/upstream.rs
@@ -10,7 +10,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http_body_util::combinators::BoxBody;
@@ -90,6 +90,15 @@
     pub seen: Vec<String>,
 }
 
+/// A call that reached the upstream, whether or not it ran.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Arrival {
+    /// When its head had been read.
+    pub at: Instant,
+    /// Its target.
+    pub target: Box<str>,
+}
+
 /// A running stand-in.
 pub struct UpstreamStandin {
     /// Where it listens.
@@ -101,6 +110,7 @@
 struct State {
     behaviour: Mutex<Behaviour>,
     counts: Mutex<Counts>,
+    arrivals: Mutex<Vec<Arrival>>,
     slots: Semaphore,
 }
 
@@ -119,6 +129,7 @@
         let state = Arc::new(State {
             behaviour: Mutex::new(behaviour),
             counts: Mutex::default(),
+            arrivals: Mutex::default(),
             slots: Semaphore::new(endpoint.slots.0 as usize),
         });
         let mut tasks = vec![tokio::spawn(serve(listener, Arc::clone(&state))).abort_handle()];
@@ -150,6 +161,11 @@
         lock(&self.state.counts).runs
     }
 
+    /// Calls that have reached it so far, those that it refused included.
+    pub fn arrivals(&self) -> Vec<Arrival> {
+        lock(&self.state.arrivals).clone()
+    }
+
     /// What it has seen so far.
     pub fn counts(&self) -> Counts {
         lock(&self.state.counts).clone()
@@ -219,6 +235,8 @@
 
 async fn run(req: Request<Incoming>, path: &str, state: &State) -> Result<Response<Body>, Dropped> {
     let behaviour = lock(&state.behaviour).clone();
+    let arrival = Arrival { at: Instant::now(), target: req.uri().to_string().into() };
+    lock(&state.arrivals).push(arrival);
     let Ok(_slot) = state.slots.try_acquire() else {
         lock(&state.counts).over_slots += 1;
         return Ok(shed(req.headers()));
--- a/crates/zinniacross/tests/common/mod.rs
+++ b/crates/zinniacross/tests/common/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod caller;
 pub mod imported;
+pub mod repeats;
 pub mod site;
 
 use std::net::SocketAddr;
