Count retries for each service of a guard, not for each endpoint

An endpoint that refused a connection, lapsed or was replaced on its instance was removed from the guard together with the window of its retries. When it came back it got a new window with half of its spare retries, each time.

Ruled out: keeping the window of a removed endpoint by its name, as an endpoint mostly returns with another one.

A guard now keeps one window for each service, which outlasts the endpoints. The part of a guard is that of all its endpoints of the service. What a new endpoint was granted only after 10 s depends on the start of the process alone: no other process can have granted retries of an endpoint of this node.

--- a/crates/admission/src/attempt.rs
+++ b/crates/admission/src/attempt.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use model::{AccountName, AttemptId, EndpointName, Rate, ResultCode, RouteName, Time};
+use model::{AccountName, AttemptId, EndpointName, Rate, ResultCode, RouteName, ServiceName, Time};
 
 use crate::retries::{AttemptKind, RetryLimit};
 
@@ -13,6 +13,8 @@
     pub id: AttemptId,
     /// The endpoint selected by the entry node.
     pub endpoint: EndpointName,
+    /// The service of that endpoint.
+    pub service: ServiceName,
     /// The route of the request.
     pub route: RouteName,
     /// The client account, or `None` on open routes.
@@ -35,7 +37,7 @@
     pub priority: u8,
     /// How the attempt counts towards the retry limit.
     pub kind: AttemptKind,
-    /// Retry limit of the endpoint.
+    /// Retry limit of the service at this guard.
     pub retry_limit: RetryLimit,
     /// Whether the request may run more than once.
     pub is_idempotent: bool,
--- a/crates/admission/src/guard.rs
+++ b/crates/admission/src/guard.rs
@@ -12,7 +12,7 @@
 use crate::ledger::{AttemptState, FenceAnswer, Ledger, LedgerCapacity, is_recordable};
 use crate::limits::{GuardLimits, OverloadControl};
 use crate::queue::{EndpointQueue, EnqueueResult};
-use crate::retries::{AttemptKind, RetryPart};
+use crate::retries::{AttemptKind, RetryPart, RetryWindows};
 
 /// Code of a refusal that doesn't prove to the entry node that the attempt did not run: either a
 /// duplicate of the attempt may have run, or the refusal could not be recorded.
@@ -39,10 +39,7 @@
     is_stopping: bool,
     /// Whether the failure domain of the node is evacuated.
     is_evacuated: bool,
-    /// Spare retries are granted from this time on, also to endpoints that are added before.
-    initial_retries_from: Time,
-    /// Whether a retry has been started or queued.
-    has_taken_retries: bool,
+    retries: RetryWindows,
     now: Time,
 }
 
@@ -58,8 +55,7 @@
             ledger: Ledger::new(limits.ledger_capacity),
             is_stopping: false,
             is_evacuated: false,
-            initial_retries_from: Time::ZERO,
-            has_taken_retries: false,
+            retries: RetryWindows::default(),
             now: Time::ZERO,
         }
     }
@@ -185,6 +181,7 @@
             decisions.extend(self.start_queued(&name, now, checks));
         }
         self.cold.prune(|name| self.endpoints.contains_key(name), now);
+        self.retries.prune(now);
         self.ledger.expire(now);
         decisions
     }
@@ -198,6 +195,7 @@
     /// whose record has expired pass the start-by check.
     fn advance_clock(&mut self, now: Time) -> Time {
         self.now = self.now.max(now);
+        self.retries.begin(self.now);
         self.now
     }
 
@@ -240,13 +238,15 @@
             kind: attempt.kind,
             start_by,
         };
-        let (kind, retry_limit) = (attempt.kind, attempt.retry_limit);
+        let (service, kind, retry_limit) =
+            (attempt.service.clone(), attempt.kind, attempt.retry_limit);
         let has_reserve = self.limits.overload_control == OverloadControl::On;
         let part = match has_reserve && attempt.priority > 0 {
             true => RetryPart::Unreserved,
             false => RetryPart::Whole,
         };
-        if kind.is_limited() && !queue.retry_window.allows_retry(retry_limit, part, now) {
+        let retries = &mut self.retries;
+        if kind.is_limited() && !retries.allows_retry(&service, retry_limit, part, now) {
             self.ledger.record(id, AttemptState::Refused(ResultCode::RetriesExhausted), start_by);
             return vec![decide(Decision::Refuse(ResultCode::RetriesExhausted))];
         }
@@ -261,8 +261,7 @@
         if has_slot && !is_limited {
             queue.start(&attempt, now);
             cold.record_start(&attempt.endpoint, now);
-            queue.retry_window.record(kind, retry_limit, now);
-            self.has_taken_retries |= kind.is_limited();
+            retries.record(&service, kind, retry_limit, now);
             self.ledger.record(id, AttemptState::Running, start_by);
             self.active.insert(id, active);
             return vec![decide(Decision::Start)];
@@ -295,8 +294,7 @@
         // arrive before the first of them starts. Others count once they start: if they are refused in the
         // queue, the call counts at the endpoint that it goes to next.
         if !matches!(enqueued, EnqueueResult::Full) && kind.is_limited() {
-            queue.retry_window.record(kind, retry_limit, now);
-            self.has_taken_retries = true;
+            retries.record(&service, kind, retry_limit, now);
         }
         match enqueued {
             EnqueueResult::Queued => {}
@@ -344,7 +342,8 @@
             if let Some(queue) = self.endpoints.get_mut(endpoint) {
                 queue.start(&attempt, now);
                 if !attempt.kind.is_limited() {
-                    queue.retry_window.record(attempt.kind, attempt.retry_limit, now);
+                    let Attempt { service, kind, retry_limit, .. } = &attempt;
+                    self.retries.record(service, *kind, *retry_limit, now);
                 }
                 self.cold.record_start(endpoint, now);
             }
--- a/crates/admission/src/guard/endpoints.rs
+++ b/crates/admission/src/guard/endpoints.rs
@@ -22,9 +22,7 @@
         let now = self.advance_clock(now);
         let entry = self.endpoints.entry(endpoint.clone());
         let overload_control = self.limits.overload_control;
-        let queue =
-            entry.or_insert_with(|| EndpointQueue::new(slots, state, overload_control, now));
-        queue.retry_window.withhold_initial(self.initial_retries_from);
+        let queue = entry.or_insert_with(|| EndpointQueue::new(slots, state, overload_control));
         queue.slots = slots;
         queue.announced_state = Some(state);
         self.start_queued(endpoint, now, checks)
@@ -130,27 +128,19 @@
         names.iter().flat_map(|name| self.start_queued(name, now, checks)).collect()
     }
 
-    /// Applies when endpoints get their first spare retries, also to those that are there already. Returns
+    /// Applies when the first spare retries are granted. Those that have been taken still count. Returns
     /// whether this withholds them for longer than before.
     pub fn set_initial_retries(&mut self, initial: InitialRetries) -> bool {
-        let InitialRetries::From(from) = initial else { return false };
-        let is_later = from > self.initial_retries_from;
-        if is_later {
-            self.initial_retries_from = from;
-            for queue in self.endpoints.values_mut() {
-                queue.retry_window.withhold_initial(from);
-            }
-        }
-        is_later
+        self.retries.set_initial(initial)
     }
 
-    /// Returns whether endpoints get no spare retries yet.
+    /// Returns whether no spare retries are granted yet.
     pub fn withholds_initial_retries(&self, now: Time) -> bool {
-        now < self.initial_retries_from
+        self.retries.withholds_spare(now)
     }
 
     /// Returns whether this guard has started or queued a retry since it was created.
     pub fn has_taken_retries(&self) -> bool {
-        self.has_taken_retries
+        self.retries.has_taken()
     }
 }
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -25,6 +25,7 @@
 //! let attempt = Attempt {
 //!     id,
 //!     endpoint,
+//!     service: "orders".parse().unwrap(),
 //!     route,
 //!     account: None,
 //!     rate,
--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -12,7 +12,6 @@
 use crate::forecast::{GrantShares, StartClass};
 use crate::limits::OverloadControl;
 use crate::reserve::{SlotReserves, Urgency};
-use crate::retries::RetryWindow;
 use crate::route::{RouteState, SERVED_SHARE_STEPS};
 
 /// Mean service time assumed until the first call has finished.
@@ -74,7 +73,6 @@
     overload_control: OverloadControl,
     /// `None` once the endpoint is no longer announced.
     pub(crate) announced_state: Option<EndpointState>,
-    pub(crate) retry_window: RetryWindow,
     /// An ordered map, so that ties are resolved deterministically.
     accounts: BTreeMap<Option<AccountName>, AccountState>,
     running: u32,
@@ -91,13 +89,11 @@
         slots: Slots,
         state: EndpointState,
         overload_control: OverloadControl,
-        now: Time,
     ) -> EndpointQueue {
         EndpointQueue {
             slots,
             overload_control,
             announced_state: Some(state),
-            retry_window: RetryWindow::new(now),
             accounts: BTreeMap::new(),
             running: 0,
             queued: 0,
--- a/crates/admission/src/retries.rs
+++ b/crates/admission/src/retries.rs
@@ -1,22 +1,23 @@
-//! Limit on the retries that an endpoint accepts.
+//! Limit on the retries that a guard accepts for each service.
 
-use std::collections::VecDeque;
+use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
-use model::{Percent, Time};
+use model::{Percent, ServiceName, Time};
 
 /// Sliding window of the retry limit. Equals the 10 s over which the platform counts retries.
 pub const RETRY_WINDOW: Duration = Duration::from_secs(10);
 
-/// When a guard grants the first half of an endpoint's spare retries. The other half follows once the
-/// endpoint has been there for [`RETRY_WINDOW`].
-///
-/// Some retries are needed at once, because nothing is known about the health of the endpoints when a
-/// guard starts. But the guard of the previous process may have granted all of them right before: two
-/// starts within the window allowed 137 retries of a service in 10 s where its users allow 102.
+/// Percentage of the spare retries that a guard grants in the first [`RETRY_WINDOW`] of its process. Some
+/// retries are needed at once, because nothing is known about the health of the endpoints. But the guard of
+/// the previous process may have granted all of them right before: two starts within the window allowed
+/// 137 retries of a service in 10 s where its users allow 102.
+const INITIAL_SPARE_PERCENT: u64 = 50;
+
+/// When a guard grants the first spare retries of its process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum InitialRetries {
-    /// As soon as the endpoint is added.
+    /// From its start.
     AtOnce,
     /// Not before this time, at which the retries that were taken before the previous process have left
     /// the window.
@@ -62,22 +63,22 @@
 /// Units that make up one retry, so that fractions of retries are counted in integers.
 const RETRY_UNITS: u64 = 100_000;
 
-/// Limit on the retries of an endpoint.
+/// Limit on the retries of a service at one guard.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RetryLimit {
     /// Retries allowed as a share of the calls of the route.
     pub share: Percent,
-    /// Thousandths of a retry per 10 s allowed on top of the share: the endpoint's part of the spare
-    /// retries of its service.
+    /// Thousandths of a retry per 10 s allowed on top of the share: the guard's part of the spare
+    /// retries of the service.
     pub spare_milli: u32,
 }
 
-/// Percentage of the retries of an endpoint that calls below the highest priority may use while the rest is
+/// Percentage of the retries of a service that calls below the highest priority may use while the rest is
 /// reserved. Calls that upstreams make themselves have the highest priority: if one of them fails, the
 /// work of the call that it belongs to is lost as well.
 const UNRESERVED_RETRIES_PERCENT: u64 = 60;
 
-/// Which part of the retries of an endpoint a call may use.
+/// Which part of the retries of a service a call may use.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum RetryPart {
     /// All of them.
@@ -112,7 +113,7 @@
         }
     }
 
-    /// Whether the attempt is refused once the retries of the endpoint are used up.
+    /// Whether the attempt is refused once the retries of the service are used up.
     pub(crate) fn is_limited(self) -> bool {
         self.retry_percent() > RETRY_ORIGIN_LIMITED_PERCENT
     }
@@ -128,53 +129,110 @@
     used_units: u64,
 }
 
-/// Calls and retries of one endpoint in the last 10 s. Every call to an endpoint passes its guard, so
-/// the limits of the endpoints add up to a limit for the service, however many entry nodes there are.
-#[derive(Debug)]
-pub(crate) struct RetryWindow {
-    /// From when on half of the spare retries are granted.
-    half_from: Time,
-    /// From when on all of the spare retries are granted: the endpoint may replace one that has just used
-    /// all of them up, or its guard one of an earlier process.
-    all_from: Time,
-    buckets: VecDeque<Bucket>,
+/// Calls and retries of each service that the endpoints of a guard have belonged to in the last 10 s. Every
+/// call to an endpoint passes its guard, so the limits of the guards add up to a limit for the service,
+/// however many entry nodes there are. The counts outlast the endpoints: one that returns, or that replaces
+/// another on its instance, gets no new retries.
+#[derive(Debug, Default)]
+pub(crate) struct RetryWindows {
+    services: HashMap<ServiceName, RetryWindow>,
+    /// First time that the guard was told.
+    started_at: Option<Time>,
+    /// Spare retries are granted from this time on.
+    spare_from: Time,
+    /// Whether a retry has been started or queued.
+    has_taken: bool,
 }
 
-impl RetryWindow {
-    pub(crate) fn new(now: Time) -> RetryWindow {
-        RetryWindow { half_from: now, all_from: now + RETRY_WINDOW, buckets: VecDeque::new() }
+impl RetryWindows {
+    /// Records the start of the guard, if it is not known yet.
+    pub(crate) fn begin(&mut self, now: Time) {
+        self.started_at.get_or_insert(now);
+    }
+
+    /// Applies when the first spare retries are granted. Those that have been taken still count. Returns
+    /// whether this withholds them for longer than before.
+    pub(crate) fn set_initial(&mut self, initial: InitialRetries) -> bool {
+        let InitialRetries::From(from) = initial else { return false };
+        let is_later = from > self.spare_from;
+        self.spare_from = self.spare_from.max(from);
+        is_later
     }
 
-    /// Withholds the first half of the spare retries until a time. Those that have been taken still count.
-    pub(crate) fn withhold_initial(&mut self, until: Time) {
-        self.half_from = self.half_from.max(until);
+    /// Returns whether no spare retries are granted yet.
+    pub(crate) fn withholds_spare(&self, now: Time) -> bool {
+        now < self.spare_from
     }
 
-    /// Returns whether another retry stays within the limit.
+    /// Returns whether a retry has been started or queued.
+    pub(crate) fn has_taken(&self) -> bool {
+        self.has_taken
+    }
+
+    /// Returns whether another retry of a service stays within the limit.
     pub(crate) fn allows_retry(
         &mut self,
+        service: &ServiceName,
         retry_limit: RetryLimit,
         part: RetryPart,
         now: Time,
     ) -> bool {
-        self.current_bucket(now);
-        let spare_units = u64::from(retry_limit.spare_milli) * (RETRY_UNITS / 1000);
-        let spare_units = match now {
-            now if now < self.half_from => 0,
-            now if now < self.all_from => spare_units / 2,
-            _ => spare_units,
+        let is_initial = self.started_at.is_none_or(|started| now < started + RETRY_WINDOW);
+        let spare_percent = match is_initial {
+            _ if self.withholds_spare(now) => 0,
+            true => INITIAL_SPARE_PERCENT,
+            false => 100,
         };
-        let earned_units: u64 = self.buckets.iter().map(|bucket| bucket.earned_units).sum();
-        let used_units: u64 = self.buckets.iter().map(|bucket| bucket.used_units).sum();
-        let percent = match part {
+        let part_percent = match part {
             RetryPart::Whole => 100,
             RetryPart::Unreserved => UNRESERVED_RETRIES_PERCENT,
         };
-        used_units + RETRY_UNITS <= (earned_units + spare_units) * percent / 100
+        let (earned_units, used_units) = self.window(service).totals(now);
+        let spare_units = u64::from(retry_limit.spare_milli) * (RETRY_UNITS / 1000);
+        let granted = spare_units * spare_percent / 100 + earned_units;
+        used_units + RETRY_UNITS <= granted * part_percent / 100
     }
 
     /// Counts a first attempt that the guard has started, or a retry that it has started or queued.
-    pub(crate) fn record(&mut self, kind: AttemptKind, retry_limit: RetryLimit, now: Time) {
+    pub(crate) fn record(
+        &mut self,
+        service: &ServiceName,
+        kind: AttemptKind,
+        retry_limit: RetryLimit,
+        now: Time,
+    ) {
+        self.has_taken |= kind.is_limited();
+        self.window(service).record(kind, retry_limit, now);
+    }
+
+    /// Removes the windows of services without calls in the last [`RETRY_WINDOW`].
+    pub(crate) fn prune(&mut self, now: Time) {
+        self.services.retain(|_, window| !window.is_empty(now));
+    }
+
+    fn window(&mut self, service: &ServiceName) -> &mut RetryWindow {
+        if !self.services.contains_key(service) {
+            self.services.insert(service.clone(), RetryWindow::default());
+        }
+        self.services.get_mut(service).expect("the window was just added")
+    }
+}
+
+/// Calls and retries of one service in the last [`RETRY_WINDOW`].
+#[derive(Debug, Default)]
+struct RetryWindow {
+    buckets: VecDeque<Bucket>,
+}
+
+impl RetryWindow {
+    /// Units that the calls in the window allow, and those that are used up.
+    fn totals(&mut self, now: Time) -> (u64, u64) {
+        self.remove_expired(now);
+        let earned = self.buckets.iter().map(|bucket| bucket.earned_units).sum();
+        (earned, self.buckets.iter().map(|bucket| bucket.used_units).sum())
+    }
+
+    fn record(&mut self, kind: AttemptKind, retry_limit: RetryLimit, now: Time) {
         let bucket = self.current_bucket(now);
         match kind {
             AttemptKind::First { retry_origin_percent } => {
@@ -189,14 +247,24 @@
         }
     }
 
-    /// Removes buckets that have left the window, and returns the bucket of `now`.
-    fn current_bucket(&mut self, now: Time) -> &mut Bucket {
-        let index = now.as_micros() / BUCKET_LENGTH.as_micros() as u64;
+    fn is_empty(&mut self, now: Time) -> bool {
+        self.remove_expired(now);
+        self.buckets.is_empty()
+    }
+
+    /// Removes buckets that have left the window.
+    fn remove_expired(&mut self, now: Time) {
+        let index = bucket_index(now);
         let buckets_per_window = (RETRY_WINDOW.as_micros() / BUCKET_LENGTH.as_micros()) as u64;
         // Keeps one bucket more than fits in the window, since the oldest one overlaps its start.
         while self.buckets.front().is_some_and(|first| first.index + buckets_per_window < index) {
             self.buckets.pop_front();
         }
+    }
+
+    fn current_bucket(&mut self, now: Time) -> &mut Bucket {
+        self.remove_expired(now);
+        let index = bucket_index(now);
         if self.buckets.back().is_none_or(|last| last.index < index) {
             self.buckets.push_back(Bucket { index, earned_units: 0, used_units: 0 });
         }
@@ -204,3 +272,7 @@
         &mut self.buckets[last]
     }
 }
+
+fn bucket_index(now: Time) -> u64 {
+    now.as_micros() / BUCKET_LENGTH.as_micros() as u64
+}
--- a/crates/admission/tests/common/mod.rs
+++ b/crates/admission/tests/common/mod.rs
@@ -24,6 +24,7 @@
     Attempt {
         id,
         endpoint,
+        service: "orders".parse().unwrap(),
         route: "orders".parse().unwrap(),
         account: None,
         rate: Rate::per_second(10),
--- a/crates/membership/src/announcements.rs
+++ b/crates/membership/src/announcements.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use model::{
-    Announcement, DepartedEndpoint, Endpoint, EndpointName, EndpointState, Origin, Report, Time,
+    Announcement, DepartedEndpoint, Endpoint, EndpointName, EndpointState, Origin, Report,
+    ServiceName, Time,
 };
 
 /// Maximum number of ended endpoints to remember, and of notices of leaving ones. They identify messages
@@ -311,6 +312,11 @@
         self.endpoints.get(name).map(|known| &known.endpoint)
     }
 
+    /// Returns the number of endpoints of a service.
+    pub fn endpoints_of(&self, service: &ServiceName) -> usize {
+        self.endpoints.values().filter(|known| known.endpoint.service == *service).count()
+    }
+
     /// Returns the names of the endpoints whose upstream has announced this state, whether or not this node
     /// is stopping.
     pub fn endpoints_in(&self, state: EndpointState) -> impl Iterator<Item = &EndpointName> {
--- a/crates/node/src/guard.rs
+++ b/crates/node/src/guard.rs
@@ -418,13 +418,13 @@
     body: Payload,
     log: &mut CallLog,
 ) -> CallReply {
-    let Some(addr) = endpoint_addr(node, &call.endpoint) else {
+    let Some(endpoint) = lock(&node.announcements).endpoint(&call.endpoint).cloned() else {
         return refused(node, &call, ResultCode::EndpointUnknown);
     };
     let refused = |code| refused(node, &call, code);
-    let retry_part = RetryPart::of(node, &call);
+    let retry_part = RetryPart::of(node, &endpoint);
     log.record_retry_part(retry_part);
-    let active = match submit(node, &call, retry_part) {
+    let active = match submit(node, &call, &endpoint, retry_part) {
         Submitted::Refused(code) => return refused(code),
         Submitted::Started(active) => active,
         Submitted::Queued(active, rx) => match rx.await {
@@ -434,7 +434,7 @@
         },
     };
     log.record_start();
-    upstream_call::run(node, call, addr, body, active).await
+    upstream_call::run(node, call, endpoint.addr, body, active).await
 }
 
 /// The reply to a call that was not run.
@@ -446,10 +446,6 @@
     CallReply::Refused { code, load, revisions }
 }
 
-fn endpoint_addr(node: &Node, endpoint: &EndpointName) -> Option<std::net::SocketAddr> {
-    lock(&node.announcements).endpoint(endpoint).map(|endpoint| endpoint.addr)
-}
-
 /// Result of submitting an attempt to the core.
 enum Submitted {
     Started(ActiveAttempt),
@@ -457,11 +453,12 @@
     Refused(ResultCode),
 }
 
-fn submit(node: &Arc<Node>, call: &Call, retry_part: RetryPart) -> Submitted {
+fn submit(node: &Arc<Node>, call: &Call, endpoint: &Endpoint, retry_part: RetryPart) -> Submitted {
     let id = call.attempt;
     let attempt = Attempt {
         id,
-        endpoint: call.endpoint.clone(),
+        endpoint: endpoint.name.clone(),
+        service: endpoint.service.clone(),
         route: call.route.clone(),
         account: call.account.as_ref().map(|(account, _)| account.clone()),
         rate: account_rate(node, call),
@@ -475,7 +472,7 @@
             true => AttemptKind::Retry,
             false => AttemptKind::First { retry_origin_percent: call.retry_origin_percent },
         },
-        retry_limit: retry_part.limit(node, call),
+        retry_limit: retry_part.limit(node, &call.route),
         is_idempotent: call.idempotent,
         accepts_suspect: call.accepts_suspect,
     };
--- a/crates/routing/tests/cold_domain.rs
+++ b/crates/routing/tests/cold_domain.rs
@@ -289,6 +289,7 @@
         let attempt = Attempt {
             id,
             endpoint: self.fleet.names[endpoint].clone(),
+            service: "orders".parse().unwrap(),
             route: "orders".parse().unwrap(),
             account: None,
             rate: Rate::per_second(100),
--- a/xtask/src/slopes/routing.rs
+++ b/xtask/src/slopes/routing.rs
@@ -120,6 +120,7 @@
     Attempt {
         id: AttemptId { entry: Incarnation(1), sequence },
         endpoint: endpoint.clone(),
+        service: name("orders"),
         route: route.clone(),
         account: None,
         rate: Rate::per_second(10),
