Grant fewer retries after a start, so that two processes stay within the limit

A guard that started granted half of its spare retries at once on top of what the process before it had granted, 112% together, and its calls allowed as many retries as those before the start, 28% of the calls of 10 s together.

A guard after an earlier process of its node grants 20% of its part and 40% of the share for 10 s. One without an earlier process grants half of its part, as before: a new node divides by the endpoints of the one that it replaces as well. A stopping process keeps its record if it took retries in its last 10 s, not only in its first.

Ruled out: a half after every start, with a smaller whole part: 62% would be left of the spare retries in calm times.

--- a/crates/admission/src/guard/endpoints.rs
+++ b/crates/admission/src/guard/endpoints.rs
@@ -128,8 +128,8 @@
         names.iter().flat_map(|name| self.start_queued(name, now, checks)).collect()
     }
 
-    /// Applies when the first spare retries are granted. Those that have been taken still count. Returns
-    /// whether this withholds them for longer than before.
+    /// Applies which retries are granted at first. Those that have been taken still count. Returns whether
+    /// this withholds spare retries for longer than before.
     pub fn set_initial_retries(&mut self, initial: InitialRetries) -> bool {
         self.retries.set_initial(initial)
     }
@@ -139,8 +139,8 @@
         self.retries.withholds_spare(now)
     }
 
-    /// Returns whether this guard has started or queued a retry since it was created.
-    pub fn has_taken_retries(&self) -> bool {
-        self.retries.has_taken()
+    /// Returns whether this guard has started or queued a retry in the last [`crate::RETRY_WINDOW`].
+    pub fn has_taken_retries(&self, now: Time) -> bool {
+        self.retries.has_taken_lately(now)
     }
 }
--- a/crates/admission/src/retries.rs
+++ b/crates/admission/src/retries.rs
@@ -8,20 +8,29 @@
 /// Sliding window of the retry limit. Equals the 10 s over which the platform counts retries.
 pub const RETRY_WINDOW: Duration = Duration::from_secs(10);
 
-/// Percentage of the spare retries that a guard grants in the first [`RETRY_WINDOW`] of its process. Some
-/// retries are needed at once, because nothing is known about the health of the endpoints. But the guard of
-/// the previous process may have granted all of them right before: two starts within the window allowed
-/// 137 retries of a service in 10 s where its users allow 102.
-const INITIAL_SPARE_PERCENT: u64 = 50;
-
-/// When a guard grants the first spare retries of its process.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+/// Percentage of its spare retries that the guard of a node grants at once if no earlier process of the node
+/// is known. Some are needed at once, because nothing is known about the health of the endpoints. But the
+/// node may replace another one, which has granted its whole part right before.
+const FIRST_SPARE_PERCENT: u64 = 50;
+
+/// Percentages of its spare retries, and of those that calls allow, that the guard of a node grants in the
+/// first [`RETRY_WINDOW`] after an earlier process of the node. That one may have granted its whole part right
+/// before, 75% of the spare retries and 70% of the budget of the route. Together they stay below 100%.
+const SUCCESSOR_SPARE_PERCENT: u64 = 20;
+const SUCCESSOR_EARNED_PERCENT: u64 = 40;
+
+/// Which retries a guard grants in the first [`RETRY_WINDOW`] of its process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum InitialRetries {
-    /// From its start.
-    AtOnce,
-    /// Not before this time, at which the retries that were taken before the previous process have left
-    /// the window.
-    From(Time),
+    /// Half of the spare ones: no earlier process of the node is known.
+    #[default]
+    First,
+    /// Fewer of all kinds, as an earlier process of the node may have granted its own right before.
+    Successor {
+        /// Time from which spare retries are granted. Those that were taken before the previous process have
+        /// left the window then.
+        spare_from: Time,
+    },
 }
 
 impl InitialRetries {
@@ -35,10 +44,10 @@
     /// use std::time::Duration;
     ///
     /// let after = |previous| InitialRetries::after(previous, Some(19_000), Time::ZERO);
-    /// let later = Time::ZERO + Duration::from_secs(6);
-    /// assert_eq!(after(Some(15_000)), InitialRetries::From(later));
-    /// assert_eq!(after(Some(9_000)), InitialRetries::AtOnce);
-    /// assert_eq!(after(None), InitialRetries::AtOnce);
+    /// let spare_from = Time::ZERO + Duration::from_secs(6);
+    /// assert_eq!(after(Some(15_000)), InitialRetries::Successor { spare_from });
+    /// assert_eq!(after(Some(9_000)), InitialRetries::Successor { spare_from: Time::ZERO });
+    /// assert_eq!(after(None), InitialRetries::Successor { spare_from: Time::ZERO });
     /// ```
     pub fn after(
         previous_ms: Option<u64>,
@@ -48,12 +57,8 @@
         let between = started_ms.zip(previous_ms).and_then(|(own, previous)| {
             own.checked_sub(previous).filter(|ms| *ms > 0).map(Duration::from_millis)
         });
-        match between {
-            Some(between) if between < RETRY_WINDOW => {
-                InitialRetries::From(started + (RETRY_WINDOW - between))
-            }
-            _ => InitialRetries::AtOnce,
-        }
+        let left = between.map_or(Duration::ZERO, |between| RETRY_WINDOW.saturating_sub(between));
+        InitialRetries::Successor { spare_from: started + left }
     }
 }
 
@@ -138,10 +143,9 @@
     services: HashMap<ServiceName, RetryWindow>,
     /// First time that the guard was told.
     started_at: Option<Time>,
-    /// Spare retries are granted from this time on.
-    spare_from: Time,
-    /// Whether a retry has been started or queued.
-    has_taken: bool,
+    initial: InitialRetries,
+    /// When the last retry was started or queued.
+    last_taken_at: Option<Time>,
 }
 
 impl RetryWindows {
@@ -150,23 +154,43 @@
         self.started_at.get_or_insert(now);
     }
 
-    /// Applies when the first spare retries are granted. Those that have been taken still count. Returns
-    /// whether this withholds them for longer than before.
+    /// Applies which retries are granted at first. Those that have been taken still count. Returns whether
+    /// this withholds spare retries for longer than before.
     pub(crate) fn set_initial(&mut self, initial: InitialRetries) -> bool {
-        let InitialRetries::From(from) = initial else { return false };
-        let is_later = from > self.spare_from;
-        self.spare_from = self.spare_from.max(from);
-        is_later
+        let InitialRetries::Successor { spare_from } = initial else { return false };
+        let known = self.spare_from();
+        self.initial = InitialRetries::Successor { spare_from: spare_from.max(known) };
+        spare_from > known
     }
 
     /// Returns whether no spare retries are granted yet.
     pub(crate) fn withholds_spare(&self, now: Time) -> bool {
-        now < self.spare_from
+        now < self.spare_from()
+    }
+
+    fn spare_from(&self) -> Time {
+        match self.initial {
+            InitialRetries::First => Time::ZERO,
+            InitialRetries::Successor { spare_from } => spare_from,
+        }
     }
 
-    /// Returns whether a retry has been started or queued.
-    pub(crate) fn has_taken(&self) -> bool {
-        self.has_taken
+    /// Returns whether a retry has been started or queued in the last [`RETRY_WINDOW`].
+    pub(crate) fn has_taken_lately(&self, now: Time) -> bool {
+        self.last_taken_at.is_some_and(|at| now < at + RETRY_WINDOW)
+    }
+
+    /// Percentages of the spare retries, and of those that calls allow, that are granted now.
+    fn granted_percents(&self, now: Time) -> [u64; 2] {
+        let is_initial = self.started_at.is_none_or(|started| now < started + RETRY_WINDOW);
+        match self.initial {
+            _ if !is_initial => [100, 100],
+            InitialRetries::First => [FIRST_SPARE_PERCENT, 100],
+            InitialRetries::Successor { spare_from } if now < spare_from => {
+                [0, SUCCESSOR_EARNED_PERCENT]
+            }
+            InitialRetries::Successor { .. } => [SUCCESSOR_SPARE_PERCENT, SUCCESSOR_EARNED_PERCENT],
+        }
     }
 
     /// Returns whether another retry of a service stays within the limit.
@@ -177,19 +201,14 @@
         part: RetryPart,
         now: Time,
     ) -> bool {
-        let is_initial = self.started_at.is_none_or(|started| now < started + RETRY_WINDOW);
-        let spare_percent = match is_initial {
-            _ if self.withholds_spare(now) => 0,
-            true => INITIAL_SPARE_PERCENT,
-            false => 100,
-        };
+        let [spare_percent, earned_percent] = self.granted_percents(now);
         let part_percent = match part {
             RetryPart::Whole => 100,
             RetryPart::Unreserved => UNRESERVED_RETRIES_PERCENT,
         };
         let (earned_units, used_units) = self.window(service).totals(now);
         let spare_units = u64::from(retry_limit.spare_milli) * (RETRY_UNITS / 1000);
-        let granted = spare_units * spare_percent / 100 + earned_units;
+        let granted = (spare_units * spare_percent + earned_units * earned_percent) / 100;
         used_units + RETRY_UNITS <= granted * part_percent / 100
     }
 
@@ -201,7 +220,9 @@
         retry_limit: RetryLimit,
         now: Time,
     ) {
-        self.has_taken |= kind.is_limited();
+        if kind.is_limited() {
+            self.last_taken_at = Some(now);
+        }
         self.window(service).record(kind, retry_limit, now);
     }
 
--- a/crates/admission/tests/retries.rs
+++ b/crates/admission/tests/retries.rs
@@ -51,6 +51,14 @@
         }
     }
 
+    /// Replaces a guard by that of a new process after one that started at `previous`.
+    fn restart_one(&mut self, guard: usize, previous: u64, now: u64) {
+        self.add_endpoint(now);
+        let initial = InitialRetries::after(Some(previous), Some(now), ms(now));
+        self.guards.last_mut().unwrap().set_initial_retries(initial);
+        self.guards.swap_remove(guard);
+    }
+
     /// Removes the endpoint of each guard and announces it again.
     fn remove_and_return(&mut self, now: u64) {
         for guard in &mut self.guards {
@@ -171,7 +179,8 @@
     let now = 60_000;
     // Unknown, long ago, just long enough ago, later than this start, and at the same time.
     let long_ago = [None, Some(7), Some(50_000), Some(60_001), Some(u64::MAX), Some(60_000)];
-    let cases = long_ago.map(|previous| (previous, 24)).into_iter();
+    // 1.2 at each endpoint, rounded down.
+    let cases = long_ago.map(|previous| (previous, 8)).into_iter();
     for (previous, expected) in cases.chain([(Some(50_001), 0), (Some(59_999), 0)]) {
         let mut service = Service::with_endpoints(0);
         service.restart(8, previous, now);
@@ -185,15 +194,15 @@
 #[test]
 fn a_previous_start_that_becomes_known_late_withholds_the_retries_that_are_left() {
     let mut service = Service::with_endpoints(8);
-    let granted = (0..16).filter(|call| service.retry(call % 8, 0)).count();
-    assert_eq!(granted, 16);
+    let granted = (0..8).filter(|call| service.retry(call % 4, 0)).count();
+    assert_eq!(granted, 8);
     let initial = InitialRetries::after(Some(5_000), Some(10_000), ms(0));
     for guard in &mut service.guards {
         assert!(guard.set_initial_retries(initial));
         assert!(!guard.set_initial_retries(initial), "withheld once");
     }
-    // 2 of the 6 spare retries of each endpoint have been taken.
-    for (now, expected) in [(1_000, 0), (4_900, 0), (5_000, 8), (9_900, 0), (10_000, 24)] {
+    // Four endpoints have taken two of their six spare retries, and the others may take one before 10 s.
+    for (now, expected) in [(1_000, 0), (4_900, 0), (5_000, 4), (9_900, 0), (10_000, 36)] {
         assert_eq!(service.retries_at(now), expected, "after {now} ms");
     }
     // Endpoints that are added later get their retries at once.
@@ -250,8 +259,46 @@
         }
     }
 
-    /// Guards against spare retries that add up over starts of the guards. One start may add half of them
-    /// to those of the processes before; further starts within 10 s must add none.
+    /// Guards against retries that add up over starts of some or all guards in series, and over endpoints that
+    /// return meanwhile. The bound is that of the users, as above.
+    #[test]
+    fn retries_of_guards_that_start_again_stay_within_the_limit_of_the_users(
+        rates in prop::collection::vec(prop_oneof![Just(0..1u64), Just(0..20), Just(0..200)], 50)
+            .prop_flat_map(|rates| rates),
+        starts in prop::collection::btree_set((10..45usize, 0..12usize), 0..24),
+        returns in prop::collection::btree_set(10..45usize, 0..6),
+        endpoints in 1..=12usize,
+        outage in 0..45usize,
+    ) {
+        let mut service = Service::with_endpoints(endpoints);
+        let mut started = vec![0; endpoints];
+        let mut granted = Vec::new();
+        for (second, calls) in rates.iter().enumerate() {
+            let start = second as u64 * 1000;
+            for (_, guard) in starts.range((second, 0)..(second + 1, 0)) {
+                let guard = guard % endpoints;
+                service.restart_one(guard, started[guard], start);
+                started[guard] = start;
+            }
+            if returns.contains(&second) {
+                service.remove_and_return(start);
+            }
+            for call in 0..*calls {
+                service.call(call as usize % endpoints, FIRST, start + call * 1000 / calls);
+            }
+            let is_outage = second >= outage;
+            granted.push(if is_outage { service.retries_at(start + 999) as u64 } else { 0 });
+        }
+        let sum = |all: &[u64], from: usize| all.iter().skip(from).take(10).sum::<u64>();
+        for from in 0..40_usize {
+            let window_starts = [from, from.saturating_sub(5), from.saturating_sub(10)];
+            let requests = window_starts.into_iter().map(|from| sum(&rates, from)).max().unwrap_or_default();
+            let (retries, bound) = (sum(&granted, from), requests / 5 + ALLOWED_SPARE_RETRIES);
+            prop_assert!(retries <= bound, "{retries} retries from second {from}, bound {bound}");
+        }
+    }
+
+    /// Guards against spare retries that add up over starts of the guards, beyond those that users allow.
     #[test]
     fn spare_retries_do_not_add_up_over_starts(
         starts in prop::collection::btree_set(1..45u64, 1..12),
@@ -268,7 +315,7 @@
             let is_outage = second >= outage_from;
             granted.push(if is_outage { service.retries_at(second * 1000 + 999) } else { 0 });
         }
-        let bound = SPARE_MILLI as usize * 3 / 2 / 1000;
+        let bound = ALLOWED_SPARE_RETRIES as usize;
         let most = granted.windows(10).map(|window| window.iter().sum::<usize>()).max();
         prop_assert!(most <= Some(bound), "{most:?} retries in 10 s, bound {bound}");
     }
--- a/crates/node/src/guard.rs
+++ b/crates/node/src/guard.rs
@@ -8,7 +8,7 @@
 use admission::{
     Attempt, AttemptDecision, AttemptKind, CancelOutcome, Check, Checks, ColdChange, ColdLimit,
     ColdNotice, Decision, DrainState, FenceAnswer, Guard, GuardLimits, InitialRetries,
-    OverloadControl, RETRY_WINDOW, RateStatus, StopState, WaitLimit,
+    OverloadControl, RateStatus, StopState, WaitLimit,
 };
 use config::{Replica, Revisions};
 use health::{CallResult, EndpointHealth, HealthDecision};
@@ -217,8 +217,8 @@
         // The clock of the node starts with its process.
         let initial = InitialRetries::after(previous_ms, node.started_ms, Time::ZERO);
         let is_later = lock(&self.state).core.set_initial_retries(initial);
-        if let (InitialRetries::From(from), true) = (initial, is_later) {
-            let left = from.since(node.now());
+        if let (InitialRetries::Successor { spare_from }, true) = (initial, is_later) {
+            let left = spare_from.since(node.now());
             info!("no spare retries for {left:?}: the previous process had just started");
         }
     }
@@ -228,13 +228,11 @@
         lock(&self.state).core.withholds_initial_retries(now)
     }
 
-    /// Whether the next process of the node has to know when this one started: if it follows soon, it must
-    /// not grant the spare retries again that this one may have granted, or the one before it.
+    /// Whether the next process of the node has to know of this one: if it follows soon, it must not grant the
+    /// retries again that this one may have granted, or the one before it.
     pub(crate) fn next_process_needs_start(&self, now: Time) -> bool {
         let state = lock(&self.state);
-        let may_repeat =
-            state.core.has_taken_retries() || state.core.withholds_initial_retries(now);
-        now < Time::ZERO + RETRY_WINDOW && may_repeat
+        state.core.has_taken_retries(now) || state.core.withholds_initial_retries(now)
     }
 
     /// Stops admitting attempts; queued and running ones are finished.
--- a/crates/node/src/retry_limits.rs
+++ b/crates/node/src/retry_limits.rs
@@ -1,15 +1,21 @@
 //! Limits on the retries that the guard of this node accepts.
 
 use admission::RetryLimit;
-use model::{Endpoint, RouteName, ServiceName};
+use model::{Endpoint, Percent, RouteName, ServiceName};
 
 use crate::shared::{Node, lock, read};
 
-/// Percentage of a service's spare retries that is split among its endpoints. The rest is a margin:
-/// each node divides by the number of endpoints that it knows of, and nodes disagree on that number
-/// while it changes.
+/// Percentage of a service's spare retries that is split among its endpoints. The rest is a margin for
+/// guards that start again, and for nodes that disagree on the number of endpoints while it changes.
 const ASSIGNED_SPARE_RETRIES_PERCENT: u64 = 75;
 
+/// Percentage of the retry budget of a route that its calls allow at a guard. The rest is a margin for guards
+/// that start again, and for calls that result from retries, whose number is only an estimate.
+const ASSIGNED_SHARE_PERCENT: u16 = 70;
+
+/// Smallest share that can be represented, apart from none.
+const ONE_PERCENT: Percent = Percent::new(1).expect("1% is a percentage");
+
 /// The part of the spare retries of a service that the guard of this node may accept.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct RetryPart {
@@ -32,12 +38,19 @@
     /// Retry limit of the service at this guard: the retry budget of the route, and the part of the spare
     /// retries.
     pub(crate) fn limit(self, node: &Node, route: &RouteName) -> RetryLimit {
-        let share =
+        let budget =
             read(&node.config).route_by_name(route).map(|route| route.policy().retry_budget);
+        let share = assigned_share(budget.unwrap_or_default());
         let spare = u64::from(node.settings.upstream.spare_retries);
         let assigned_milli = spare * ASSIGNED_SPARE_RETRIES_PERCENT * 10;
         let spare_milli = assigned_milli * self.own as u64 / self.endpoints as u64;
         let spare_milli = u32::try_from(spare_milli).unwrap_or(u32::MAX);
-        RetryLimit { share: share.unwrap_or_default(), spare_milli }
+        RetryLimit { share, spare_milli }
     }
 }
+
+/// The part of a retry budget that calls allow at a guard: at least 1% of them, unless the budget is 0.
+fn assigned_share(budget: Percent) -> Percent {
+    let assigned = u16::from(budget.value()) * ASSIGNED_SHARE_PERCENT / 100;
+    Percent::new(assigned as u8).unwrap_or_default().max(budget.min(ONE_PERCENT))
+}
