Divide the spare retries by the endpoints of the last 10 s

Services got more repeats than their operators allow (BUDGET) when endpoints left. A guard divided the spare retries of its service by the endpoints that it knew at that moment, so those that were left got the parts of the others anew, while what the others had granted still counted. A guard that had just started could know its own endpoint only.

A guard divides by the largest number of endpoints in the last 10 s, and grants no spare retries before its node has the stored objects. Ruled out: the number of node records, which includes nodes without endpoints and of other services.

--- a/crates/node/src/call_log.rs
+++ b/crates/node/src/call_log.rs
@@ -65,7 +65,7 @@
 
     /// Records the part of the spare retries that the call may use.
     pub(crate) fn record_retry_part(&mut self, part: RetryPart) {
-        self.retry_parts = Some(part.endpoints);
+        self.retry_parts = part.endpoints;
     }
 
     /// Records that the call has got a slot.
--- a/crates/node/src/guard.rs
+++ b/crates/node/src/guard.rs
@@ -560,6 +560,7 @@
         wait_for_tick(&node).await;
         node.guard.apply(&node, |core, now, checks| core.tick(now, checks));
         node.guard.report_cold(&node);
+        node.service_sizes.observe_all(&node);
         crate::announce::remove_expired(&node);
     }
 }
--- a/crates/node/src/platform_link.rs
+++ b/crates/node/src/platform_link.rs
@@ -112,6 +112,11 @@
         self.loaded.send_replace(true);
     }
 
+    /// Whether the configuration and the stored objects have been received.
+    pub(crate) fn is_loaded(&self) -> bool {
+        *self.loaded.borrow()
+    }
+
     /// Waits until the configuration and the stored objects have been received, or until `latest`.
     pub(crate) async fn wait_until_loaded(&self, latest: Instant) {
         let mut loaded = self.loaded.subscribe();
--- a/crates/node/src/retry_limits.rs
+++ b/crates/node/src/retry_limits.rs
@@ -1,12 +1,12 @@
 //! Limits on the retries that the guard of this node accepts.
 
-use admission::RetryLimit;
+use admission::{RecentPeak, RetryLimit};
 use model::{Endpoint, Percent, RouteName, ServiceName};
 
-use crate::shared::{Node, lock, read};
+use crate::shared::{Node, SharedMap, lock, read};
 
 /// Percentage of a service's spare retries that is split among its endpoints. The rest is a margin for
-/// guards that start again, and for nodes that disagree on the number of endpoints while it changes.
+/// guards that start again, and for nodes that know different numbers of endpoints.
 const ASSIGNED_SPARE_RETRIES_PERCENT: u64 = 75;
 
 /// Percentage of the retry budget of a route that its calls allow at a guard. The rest is a margin for guards
@@ -16,13 +16,43 @@
 /// Smallest share that can be represented, apart from none.
 const ONE_PERCENT: Percent = Percent::new(1).expect("1% is a percentage");
 
+/// How many endpoints the services of this node's own endpoints have had lately.
+#[derive(Default)]
+pub(crate) struct ServiceSizes {
+    peaks: SharedMap<ServiceName, RecentPeak>,
+}
+
+impl ServiceSizes {
+    /// Records the present sizes, also of services without calls, and forgets other services.
+    pub(crate) fn observe_all(&self, node: &Node) {
+        let own: Vec<ServiceName> =
+            lock(&node.announcements).table().into_iter().map(|own| own.service).collect();
+        lock(&self.peaks).retain(|service, _| own.contains(service));
+        for service in &own {
+            self.observe(node, service);
+        }
+    }
+
+    /// Records the present size of a service, and returns the largest one lately.
+    fn observe(&self, node: &Node, service: &ServiceName) -> usize {
+        let size = read(&node.directory).endpoints_of(service).len();
+        let mut peaks = lock(&self.peaks);
+        let now = node.now();
+        match peaks.get_mut(service) {
+            Some(peak) => peak.observe(size, now),
+            None => peaks.entry(service.clone()).or_default().observe(size, now),
+        }
+    }
+}
+
 /// The part of the spare retries of a service that the guard of this node may accept.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct RetryPart {
     /// Number of endpoints of the service at this node.
     own: usize,
-    /// Number of endpoints among which the spare retries are divided.
-    pub(crate) endpoints: usize,
+    /// Number of endpoints among which the spare retries are divided. `None` while this node does not know
+    /// the others yet, and has no part.
+    pub(crate) endpoints: Option<usize>,
 }
 
 impl RetryPart {
@@ -31,8 +61,8 @@
     pub(crate) fn of(node: &Node, endpoint: &Endpoint) -> RetryPart {
         let service: &ServiceName = &endpoint.service;
         let own = lock(&node.announcements).endpoints_of(service).max(1);
-        let endpoints = read(&node.directory).endpoints_of(service).len().max(own);
-        RetryPart { own, endpoints }
+        let endpoints = node.service_sizes.observe(node, service).max(own);
+        RetryPart { own, endpoints: node.platform.is_loaded().then_some(endpoints) }
     }
 
     /// Retry limit of the service at this guard: the retry budget of the route, and the part of the spare
@@ -43,7 +73,8 @@
         let share = assigned_share(budget.unwrap_or_default());
         let spare = u64::from(node.settings.upstream.spare_retries);
         let assigned_milli = spare * ASSIGNED_SPARE_RETRIES_PERCENT * 10;
-        let spare_milli = assigned_milli * self.own as u64 / self.endpoints as u64;
+        let of_each = |endpoints| assigned_milli * self.own as u64 / endpoints as u64;
+        let spare_milli = self.endpoints.map_or(0, of_each);
         let spare_milli = u32::try_from(spare_milli).unwrap_or(u32::MAX);
         RetryLimit { share, spare_milli }
     }
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -32,6 +32,7 @@
 use crate::platform_link::PlatformLink;
 use crate::records::RecentRequests;
 use crate::retries::UnsentRetryLimiters;
+use crate::retry_limits::ServiceSizes;
 
 /// Lifecycle phase of the node.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -88,6 +89,7 @@
     pub(crate) limiter: Limiter,
     pub(crate) loads: EndpointLoads,
     pub(crate) unsent_retry_limiters: UnsentRetryLimiters,
+    pub(crate) service_sizes: ServiceSizes,
     pub(crate) peers: Peers,
     pub(crate) call_pool: CallPool,
     pub(crate) upstreams: UpstreamClient,
@@ -150,6 +152,7 @@
             limiter: Limiter::new(incarnation, overload_control, now),
             loads: EndpointLoads::default(),
             unsent_retry_limiters: UnsentRetryLimiters::default(),
+            service_sizes: ServiceSizes::default(),
             peers: Peers::default(),
             call_pool: CallPool::new(identity),
             upstreams,
