--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -25,6 +25,7 @@
 //! let attempt = Attempt {
 //!     id,
 //!     endpoint,
+//!     service: "orders".parse().unwrap(),
 //!     route,
 //!     account: None,
 //!     rate,
@@ -51,6 +52,7 @@
 mod ledger;
 mod limits;
 mod queue;
+mod recent_peak;
 mod reserve;
 mod retries;
 mod route;
@@ -63,4 +65,5 @@
 pub use guard::Guard;
 pub use ledger::{FenceAnswer, MAX_START_BY_DISTANCE, RETENTION_AFTER_START_BY};
 pub use limits::{GuardLimits, OverloadControl};
+pub use recent_peak::RecentPeak;
 pub use retries::{AttemptKind, InitialRetries, RETRY_WINDOW, RetryLimit};
--- a/crates/node/src/guard.rs
+++ b/crates/node/src/guard.rs
@@ -8,7 +8,7 @@
 use admission::{
     Attempt, AttemptDecision, AttemptKind, CancelOutcome, Check, Checks, ColdChange, ColdLimit,
     ColdNotice, Decision, DrainState, FenceAnswer, Guard, GuardLimits, InitialRetries,
-    OverloadControl, RETRY_WINDOW, RateStatus, RetryLimit, StopState, WaitLimit,
+    OverloadControl, RateStatus, StopState, WaitLimit,
 };
 use config::{Replica, Revisions};
 use health::{CallResult, EndpointHealth, HealthDecision};
@@ -24,6 +24,8 @@
 use wire::{Call, EndpointLoad, FenceStatus};
 
 use crate::call_log::CallLog;
+use crate::metrics::GuardRetryLabel;
+use crate::retry_limits::RetryPart;
 use crate::shared::{Node, SharedMap, lock, read};
 use crate::upstream_call;
 
@@ -33,11 +35,6 @@
 /// Shortest interval between two queue checks.
 const MIN_TICK_INTERVAL: Duration = Duration::from_millis(2);
 
-/// Percentage of a service's spare retries that is split among its endpoints. The rest is a margin:
-/// each node divides by the number of endpoints that it knows of, and nodes disagree on that number
-/// while it changes.
-const ASSIGNED_SPARE_RETRIES_PERCENT: u32 = 75;
-
 /// Fair-share weight of all calls on open routes combined, relative to the rates of the accounts.
 const OPEN_ROUTE_RATE: Rate = Rate::per_second(100);
 
@@ -220,8 +217,8 @@
         // The clock of the node starts with its process.
         let initial = InitialRetries::after(previous_ms, node.started_ms, Time::ZERO);
         let is_later = lock(&self.state).core.set_initial_retries(initial);
-        if let (InitialRetries::From(from), true) = (initial, is_later) {
-            let left = from.since(node.now());
+        if let (InitialRetries::Successor { spare_from }, true) = (initial, is_later) {
+            let left = spare_from.since(node.now());
             info!("no spare retries for {left:?}: the previous process had just started");
         }
     }
@@ -231,13 +228,11 @@
         lock(&self.state).core.withholds_initial_retries(now)
     }
 
-    /// Whether the next process of the node has to know when this one started: if it follows soon, it must
-    /// not grant the spare retries again that this one may have granted, or the one before it.
+    /// Whether the next process of the node has to know of this one: if it follows soon, it must not grant the
+    /// retries again that this one may have granted, or the one before it.
     pub(crate) fn next_process_needs_start(&self, now: Time) -> bool {
         let state = lock(&self.state);
-        let may_repeat =
-            state.core.has_taken_retries() || state.core.withholds_initial_retries(now);
-        now < Time::ZERO + RETRY_WINDOW && may_repeat
+        state.core.has_taken_retries(now) || state.core.withholds_initial_retries(now)
     }
 
     /// Stops admitting attempts; queued and running ones are finished.
@@ -421,11 +416,13 @@
     body: Payload,
     log: &mut CallLog,
 ) -> CallReply {
-    let Some(addr) = endpoint_addr(node, &call.endpoint) else {
+    let Some(endpoint) = lock(&node.announcements).endpoint(&call.endpoint).cloned() else {
         return refused(node, &call, ResultCode::EndpointUnknown);
     };
     let refused = |code| refused(node, &call, code);
-    let active = match submit(node, &call) {
+    let retry_part = RetryPart::of(node, &endpoint);
+    log.record_retry_part(retry_part);
+    let active = match submit(node, &call, &endpoint, retry_part) {
         Submitted::Refused(code) => return refused(code),
         Submitted::Started(active) => active,
         Submitted::Queued(active, rx) => match rx.await {
@@ -435,7 +432,7 @@
         },
     };
     log.record_start();
-    upstream_call::run(node, call, addr, body, active).await
+    upstream_call::run(node, call, endpoint.addr, body, active).await
 }
 
 /// The reply to a call that was not run.
@@ -447,10 +444,6 @@
     CallReply::Refused { code, load, revisions }
 }
 
-fn endpoint_addr(node: &Node, endpoint: &EndpointName) -> Option<std::net::SocketAddr> {
-    lock(&node.announcements).endpoint(endpoint).map(|endpoint| endpoint.addr)
-}
-
 /// Result of submitting an attempt to the core.
 enum Submitted {
     Started(ActiveAttempt),
@@ -458,11 +451,12 @@
     Refused(ResultCode),
 }
 
-fn submit(node: &Arc<Node>, call: &Call) -> Submitted {
+fn submit(node: &Arc<Node>, call: &Call, endpoint: &Endpoint, retry_part: RetryPart) -> Submitted {
     let id = call.attempt;
     let attempt = Attempt {
         id,
-        endpoint: call.endpoint.clone(),
+        endpoint: endpoint.name.clone(),
+        service: endpoint.service.clone(),
         route: call.route.clone(),
         account: call.account.as_ref().map(|(account, _)| account.clone()),
         rate: account_rate(node, call),
@@ -476,7 +470,7 @@
             true => AttemptKind::Retry,
             false => AttemptKind::First { retry_origin_percent: call.retry_origin_percent },
         },
-        retry_limit: retry_limit(node, call),
+        retry_limit: retry_part.limit(node, &call.route),
         is_idempotent: call.idempotent,
         accepts_suspect: call.accepts_suspect,
     };
@@ -492,6 +486,9 @@
     let mut decisions = core.submit(attempt, node.now(), &checks).into_iter();
     let decision = decisions.next().map(|d| d.decision);
     state.dispatch(decisions);
+    if call.is_retry {
+        count_retry(node, decision);
+    }
     let active = || ActiveAttempt { node: Arc::clone(node), id };
     match decision {
         Some(Decision::Start) => Submitted::Started(active()),
@@ -513,18 +510,14 @@
     }
 }
 
-/// Retry limit of an endpoint: the retry budget of the route, and this endpoint's part of the spare
-/// retries of its service.
-fn retry_limit(node: &Node, call: &Call) -> RetryLimit {
-    let share =
-        read(&node.config).route_by_name(&call.route).map(|route| route.policy().retry_budget);
-    let service = lock(&node.announcements).endpoint(&call.endpoint).map(|e| e.service.clone());
-    let endpoints =
-        service.map_or(1, |service| read(&node.directory).endpoints_of(&service).len().max(1));
-    let spare = u64::from(node.settings.upstream.spare_retries);
-    let spare_milli = spare * u64::from(ASSIGNED_SPARE_RETRIES_PERCENT) * 10 / endpoints as u64;
-    let spare_milli = u32::try_from(spare_milli).unwrap_or(u32::MAX);
-    RetryLimit { share: share.unwrap_or_default(), spare_milli }
+/// Counts a retry by what the guard has decided about it.
+fn count_retry(node: &Node, decision: Option<Decision>) {
+    let end = match decision {
+        Some(Decision::Start | Decision::Queued) => "accepted",
+        Some(Decision::Refuse(ResultCode::RetriesExhausted)) => "exhausted",
+        _ => "refused",
+    };
+    node.metrics.guard_retries.get_or_create(&GuardRetryLabel { end }).inc();
 }
 
 /// Rate of the client account of a call. Slots are shared in proportion to it.
@@ -567,6 +560,7 @@
         wait_for_tick(&node).await;
         node.guard.apply(&node, |core, now, checks| core.tick(now, checks));
         node.guard.report_cold(&node);
+        node.service_sizes.observe_all(&node);
         crate::announce::remove_expired(&node);
     }
 }
