Count a call that another endpoint at an address refused as arrived

Evidence: a_call_that_the_next_holder_of_an_address_refused_is_a_retry_elsewhere fails before (the second attempt has retry: false, and the endpoint stays), and passes now.

The refusal has a code of its own, 1029, as 1019 says that nothing was sent to an upstream. The next attempt is a retry; it still does not count towards the attempts of the route, since no endpoint of the service was involved. The guard removes the endpoint until it announces itself.

--- a/crates/model/src/result_code.rs
+++ b/crates/model/src/result_code.rs
@@ -92,6 +92,7 @@
     1026 503 Superseded "The newer configuration of the node before the upstream does not allow the request.",
     1027 503 RetriesExhausted "The upstream takes no further retries now.",
     1028 503 DomainEvacuated "The failure domain of the upstream is evacuated.",
+    1029 503 EndpointReplaced "Another upstream has taken the address of this one.",
     2001 504 DeadlineAfterStart "The deadline passed after the request was handed on.",
     2002 502 LinkLost "The link to the node before the upstream was lost after the request was handed on.",
     2003 502 UpstreamLost "The connection to the upstream was lost after the request was sent.",
--- a/crates/node/src/announce.rs
+++ b/crates/node/src/announce.rs
@@ -181,6 +181,15 @@
 /// Removes an endpoint whose upstream has refused a connection, until it announces itself again.
 /// Calls in its queue are refused as not run.
 pub(crate) fn remove_refusing(node: &Arc<Node>, endpoint: &EndpointName, addr: SocketAddr) {
+    remove_at(node, endpoint, addr, "it refused a connection");
+}
+
+/// Removes an endpoint whose address another one has taken, until it announces itself again.
+pub(crate) fn remove_replaced(node: &Arc<Node>, endpoint: &EndpointName, addr: SocketAddr) {
+    remove_at(node, endpoint, addr, "another endpoint answered");
+}
+
+fn remove_at(node: &Arc<Node>, endpoint: &EndpointName, addr: SocketAddr, reason: &str) {
     // The peers of a stopping node already know that its endpoints accept no calls.
     if node.phase() != Phase::Serving {
         return;
@@ -195,7 +204,7 @@
     // change and restores the endpoint in the guard, also if it arrives between these two steps.
     node.guard.remove_endpoint(node, endpoint);
     if lock(&node.announcements).remove(endpoint) {
-        warn!("endpoint {endpoint} was removed: it refused a connection at {addr}");
+        warn!("endpoint {endpoint} was removed: {reason} at {addr}");
         publish_table(node);
     }
 }
--- a/crates/node/src/attempts.rs
+++ b/crates/node/src/attempts.rs
@@ -112,7 +112,7 @@
                         if !self.trace.record.attempts.is_empty() {
                             self.node.metrics.retries.inc();
                         }
-                        let is_retry = attempts.reached_endpoint() > 0;
+                        let is_retry = attempts.has_arrived();
                         running.push(self.start_attempt(selected, is_retry));
                     }
                     None => action = attempts.final_action(self.no_endpoint_code()),
@@ -271,7 +271,10 @@
                 self.node.loads.record_suspect(&entry.name, self.idempotence, now);
             }
             AttemptEnd::Refused {
-                code: ResultCode::EndpointUnknown | ResultCode::EndpointLeaving,
+                code:
+                    ResultCode::EndpointUnknown
+                    | ResultCode::EndpointLeaving
+                    | ResultCode::EndpointReplaced,
                 evidence: Evidence::NotRun,
             } => {
                 self.tried.push(entry.name.clone());
--- a/crates/node/src/upstream_call.rs
+++ b/crates/node/src/upstream_call.rs
@@ -158,8 +158,8 @@
 ///
 /// Nothing in a response is evidence before its identity is known: it may be a second copy of the
 /// response to an earlier request on the connection, while the upstream runs this one.
-fn classify_answer(node: &Node, running: &RunningCall<'_>, answer: UpstreamAnswer) -> Outcome {
-    let RunningCall { call, started, is_overdue, .. } = *running;
+fn classify_answer(node: &Arc<Node>, running: &RunningCall<'_>, answer: UpstreamAnswer) -> Outcome {
+    let RunningCall { call, addr, started, is_overdue } = *running;
     let names = node.headers();
     let record = |result| node.guard.record_result(node, call, started, result);
     let invalid = |reason: &str| {
@@ -183,6 +183,9 @@
             record(CallResult::Shed);
         }
         if answer.identity.is_certain() {
+            if refusal == Refusal::OtherEndpoint {
+                crate::announce::remove_replaced(node, &call.endpoint, addr);
+            }
             return Outcome::Refused(refusal.code());
         }
         // The next refusals come on new connections, where they need no id to be believed.
@@ -237,7 +240,7 @@
 
     fn code(self) -> ResultCode {
         match self {
-            Refusal::OtherEndpoint => ResultCode::EndpointUnknown,
+            Refusal::OtherEndpoint => ResultCode::EndpointReplaced,
             Refusal::NotRun => ResultCode::UpstreamShed,
         }
     }
--- a/crates/routing/src/retry.rs
+++ b/crates/routing/src/retry.rs
@@ -189,8 +189,11 @@
     retry_limit_refusals: u32,
     /// Refusals because the failure domain of the endpoint is evacuated.
     evacuation_refusals: u32,
-    /// Attempts refused for other reasons before they reached an endpoint.
+    /// Attempts refused for other reasons before they reached an endpoint, or by another endpoint at its
+    /// address.
     unsent: u32,
+    /// Whether one of the attempts in `unsent` was refused by another endpoint.
+    is_refused_elsewhere: bool,
     /// Code of the first attempt that may have run. If set, the outcome of the call is unknown,
     /// even if later attempts are refused.
     may_have_run: Option<ResultCode>,
@@ -210,6 +213,7 @@
             retry_limit_refusals: 0,
             evacuation_refusals: 0,
             unsent: 0,
+            is_refused_elsewhere: false,
             may_have_run: None,
             fenced_code: None,
         }
@@ -221,6 +225,11 @@
         self.reached
     }
 
+    /// Whether an attempt that has ended may have arrived at an upstream, so that the next one is a retry.
+    pub fn has_arrived(&self) -> bool {
+        self.reached > 0 || self.is_refused_elsewhere
+    }
+
     /// Whether the next attempt queues at a busy endpoint or is refused by it. It queues after
     /// several busy refusals, or if the body can't be sent again.
     pub fn busy_policy(&self, body: BodyState) -> BusyPolicy {
@@ -322,6 +331,7 @@
                     true => self.unsent += 1,
                     false => self.reached += 1,
                 }
+                self.is_refused_elsewhere |= code == ResultCode::EndpointReplaced;
                 self.after_not_run(code, body, unsent_retry_limiter, now)
             }
             AttemptEnd::Refused { evidence: Evidence::Missing, .. } => {
@@ -429,6 +439,7 @@
             | ResultCode::ConnectFailed
             | ResultCode::EndpointLeaving
             | ResultCode::EndpointUnknown
+            | ResultCode::EndpointReplaced
             | ResultCode::UpstreamShed
             | ResultCode::TooManyConnections
             | ResultCode::AttemptFenced
@@ -437,7 +448,7 @@
 }
 
 /// Returns whether a refusal with this code implies that the attempt put no load on an upstream,
-/// because the endpoint or its node is unreachable or accepts no calls.
+/// because the endpoint or its node is unreachable or accepts no calls, or the endpoint is gone.
 fn is_unsent(code: ResultCode) -> bool {
     matches!(
         code,
@@ -446,6 +457,7 @@
             | ResultCode::Superseded
             | ResultCode::EndpointLeaving
             | ResultCode::EndpointUnknown
+            | ResultCode::EndpointReplaced
             | ResultCode::Stopping
             | ResultCode::LinkUnavailable
     )
--- a/crates/zinniacross/tests/retry_budget.rs
+++ b/crates/zinniacross/tests/retry_budget.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use common::repeats::{RepeatLimit, WINDOW, WorstWindow, worst_window};
+use common::site::{Endpoint, Mode, Site, status};
 use common::{Caller, Fleet, millis, seconds};
 use model::Kind;
 use standins::process::{Signal, wait_until};
@@ -67,6 +68,32 @@
     check_limit(&fleet);
 }
 
+/// Guards against arrivals that no limit counts: those at an address that another endpoint has taken.
+#[test]
+fn a_call_that_the_next_holder_of_an_address_refused_is_a_retry_elsewhere() {
+    let site = Site::start();
+    let second = Endpoint::start();
+    let body = format!(
+        r#"{{"service":"orders","addr":"{}","slots":3,"state":"ready","seq":1,"born":7}}"#,
+        second.addr
+    );
+    assert_eq!(site.announce("i-2", body), 200);
+    site.endpoint.set(Mode::Send(
+        "HTTP/1.1 421 X\r\nrequest-id: {id}\r\ninstance-id: i-3\r\ncontent-length: 0\r\n\r\n",
+    ));
+    let mut number = 0;
+    let is_refused = || {
+        number += 1;
+        let headers = format!("request-id: {number:016x}\r\napi-key: key-of-big\r\n");
+        assert_eq!(status(&site.call("GET", "/view/1", &headers).0), 200);
+        !site.endpoint.heads().is_empty()
+    };
+    assert!(wait_until(seconds(5), is_refused), "a call reaches the address");
+    let is_retry = format!(r#""request_id":"{number:016x}","retry":true"#);
+    assert!(wait_until(seconds(5), || site.log().contains(&is_retry)), "{}", site.log());
+    assert!(site.log().contains("endpoint i-1 was removed"), "{}", site.log());
+}
+
 /// Guards against a count of repeats that misses windows, requests or first arrivals.
 #[test]
 fn repeats_are_counted_in_sliding_windows() {
