--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -31,6 +31,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use percent_encoding::percent_decode_str;
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 use tokio::net::TcpListener;
@@ -257,9 +258,12 @@
         self.head.uri.path()
     }
 
-    fn param(&self, name: &str) -> Option<&str> {
+    /// Decoded value of a parameter of the query.
+    fn param(&self, name: &str) -> Option<String> {
         let params = self.head.uri.query()?.split('&');
-        params.filter_map(|param| param.split_once('=')).find(|(n, _)| *n == name).map(|(_, v)| v)
+        let mut params = params.filter_map(|param| param.split_once('='));
+        let (_, value) = params.find(|(known, _)| *known == name)?;
+        Some(percent_decode_str(value).decode_utf8_lossy().into_owned())
     }
 }
 
@@ -459,7 +463,9 @@
             Some(since) => Some(Call::Watch {
                 kind: (*kind).into(),
                 since: since.parse().ok()?,
-                wait: Duration::from_millis(req.param("waitMs").unwrap_or("0").parse().ok()?),
+                wait: Duration::from_millis(
+                    req.param("waitMs").as_deref().unwrap_or("0").parse().ok()?,
+                ),
             }),
             None => {
                 Some(Call::List { kind: (*kind).into(), after: req.param("after").map(Into::into) })
@@ -469,7 +475,7 @@
         ("POST", ["api", "objects", kind]) => Some(Call::Create((*kind).into())),
         ("PUT", ["api", "objects", kind, name]) => Some(Call::Replace(id(kind, name))),
         ("DELETE", ["api", "objects", kind, name]) => {
-            let rev = req.param("rev").map(str::parse).transpose().ok()?;
+            let rev = req.param("rev").map(|rev| rev.parse()).transpose().ok()?;
             Some(Call::Delete(id(kind, name), rev))
         }
         _ => None,
