Check the repeats of the soak in each sliding window

The soak did not count arrivals, so it could not see a service with more repeats than its routes allow. It now counts them over all upstreams, those that were killed included, as the users do.

--- a/crates/zinniacross/tests/soak/checks.rs
+++ b/crates/zinniacross/tests/soak/checks.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use crate::common::caller::{Answer, Lost};
+use crate::common::repeats::{RepeatLimit, WorstWindow, worst_window};
 
 /// Timeout of the routes.
 pub const ROUTE_TIMEOUT: Duration = Duration::from_secs(3);
@@ -16,6 +17,10 @@
 pub const RATE: u32 = 20;
 pub const BURST: u32 = 20;
 
+/// Budget of the routes in percent, with the default of the setting `upstream.spare_retries`. It is small, so
+/// that the faults of a plan call for more.
+pub const REPEATS: RepeatLimit = RepeatLimit { percent: 2, spare: 20 };
+
 /// Window in which the calls of that account are counted, and how many are allowed in it: a tenth and
 /// 20 calls above the rate and the burst, as the users' pages say.
 const RATE_WINDOW: Duration = Duration::from_secs(5);
@@ -77,6 +82,8 @@
     pub disturbed: Vec<Disturbed>,
     /// How often a call with each token ran, at all upstreams together.
     pub runs: HashMap<String, u32>,
+    /// When a call with each token reached an upstream, whether or not it ran.
+    pub arrivals: Vec<(Instant, String)>,
     /// Times in which any fault was in force.
     pub faults: Vec<(Instant, Instant)>,
     /// Runs that began at an upstream long after it had said that it leaves.
@@ -131,6 +138,7 @@
         per_call
             .chain(unasked.map(|token| format!("UNASKED: no caller has sent {token}")))
             .chain(self.excess().map(|count| format!("QUOTA: {count} calls in {RATE_WINDOW:?}")))
+            .chain(self.excess_repeats().map(|worst| format!("BUDGET: {worst:?}")))
             .chain(named("DRAIN", &self.runs_while_leaving))
             .chain(named("ENDED", &self.ended))
             .chain(named("RECOVER", &self.not_recovered))
@@ -173,6 +181,20 @@
         call.kind != Kind::Stream && took > ROUTE_TIMEOUT + LATE && !self.is_disturbed(call, &all)
     }
 
+    /// The window with the most repeats beyond the limit, if there are too many.
+    fn excess_repeats(&self) -> Option<WorstWindow> {
+        Some(self.worst_repeats()).filter(|worst| !worst.is_within_limit())
+    }
+
+    /// The window with the most repeats beyond the limit.
+    pub fn worst_repeats(&self) -> WorstWindow {
+        let requests = self.calls.iter().filter(|call| call.kind != Kind::Gone);
+        let requests: Vec<Instant> = requests.map(|call| call.started).collect();
+        let arrivals: Vec<(Instant, &str)> =
+            self.arrivals.iter().map(|(at, token)| (*at, token.as_str())).collect();
+        worst_window(&requests, &arrivals, REPEATS)
+    }
+
     /// Most served calls of the account in excess in any window, if these are too many.
     fn excess(&self) -> Option<usize> {
         self.most_excess().filter(|most| *most > MAX_IN_WINDOW)
--- a/crates/zinniacross/tests/soak/driver.rs
+++ b/crates/zinniacross/tests/soak/driver.rs
@@ -12,7 +12,8 @@
 use standins::upstream::{Behaviour, UpstreamStandin};
 
 use crate::checks::{
-    BURST, Call, Disturbance, Disturbed, Kind, Observed, RATE, ROUTE_TIMEOUT, STREAMED_BYTES,
+    BURST, Call, Disturbance, Disturbed, Kind, Observed, RATE, REPEATS, ROUTE_TIMEOUT,
+    STREAMED_BYTES,
 };
 use crate::common::{Caller, Cut, Fleet, StopOnDrop, millis, seconds};
 use crate::plan::{Fault, Plan, Step};
@@ -81,10 +82,15 @@
         for index in 0..plan.upstreams {
             fleet.upstream(index % plan.nodes, "orders", SLOTS, healthy());
         }
-        fleet.route("orders", "open", ROUTE_TIMEOUT.as_millis() as u64);
-        let keyed = r#"{"prefix":"/keyed","service":"orders","access":"keyed","timeout_ms":3000,
-            "idempotent":["GET"],"retry_budget":20,"floor":50}"#;
-        fleet.put(ObjectKind::Route, "keyed", keyed);
+        for (route, access) in [("orders", "open"), ("keyed", "keyed")] {
+            let document = format!(
+                r#"{{"prefix":"/{route}","service":"orders","access":"{access}","timeout_ms":{},
+                "idempotent":["GET","HEAD"],"retry_budget":{},"floor":50}}"#,
+                ROUTE_TIMEOUT.as_millis(),
+                REPEATS.percent
+            );
+            fleet.put(ObjectKind::Route, route, &document);
+        }
         fleet.wait_served("/orders/ready", None);
         let mut driver = Driver {
             nodes: vec![NodeState::Running; plan.nodes],
@@ -386,6 +392,10 @@
 
     fn count_runs(&mut self) {
         for upstream in self.fleet.upstreams.iter().chain(&self.gone_upstreams) {
+            let arrivals = upstream.arrivals();
+            let arrivals =
+                arrivals.iter().filter_map(|seen| Some((seen.at, token_of(&seen.target)?)));
+            self.observed.arrivals.extend(arrivals.map(|(at, token)| (at, token.to_owned())));
             for seen in upstream.counts().seen {
                 let target = seen.split(' ').next().unwrap_or_default();
                 if let Some(token) = token_of(target) {
--- a/crates/zinniacross/tests/soak/main.rs
+++ b/crates/zinniacross/tests/soak/main.rs
@@ -22,7 +22,7 @@
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
-use checks::{Call, Disturbance, Disturbed, Kind, Observed, STREAMED_BYTES};
+use checks::{Call, Disturbance, Disturbed, Kind, Observed, REPEATS, STREAMED_BYTES};
 use common::caller::{Answer, Lost};
 use driver::Driver;
 use plan::Plan;
@@ -45,11 +45,12 @@
     let served = observed.calls.iter().filter(|call| is_served(call)).count();
     println!(
         "seed {}: {} faults, {} calls, {served} served, at most {} of the account in excess in a window, \
-         {} promises broken",
+         repeats {:?}, {} promises broken",
         plan.seed,
         plan.steps.len(),
         observed.calls.len(),
         observed.most_excess().unwrap_or(0),
+        observed.worst_repeats(),
         violations.len()
     );
     if violations.is_empty() {
@@ -147,7 +148,7 @@
 #[test]
 fn each_check_finds_its_fault() {
     type Fault = fn(&mut Observed);
-    let faults: [(&str, Fault); 16] = [
+    let faults: [(&str, Fault); 17] = [
         ("MIXED", |seen| seen.calls[0].result = answer(200, "token-9")),
         ("MIXED", |seen| seen.calls[2].result = answer(200, "xx")),
         ("TWICE", |seen| *seen.runs.get_mut("token-1").unwrap() = 2),
@@ -165,6 +166,10 @@
                 seen.runs.insert(format!("token-{number}"), 1);
             }
         }),
+        ("BUDGET", |seen| {
+            let again = (seen.calls[0].started, "token-0".to_owned());
+            seen.arrivals.extend(vec![again; REPEATS.spare + 2]);
+        }),
         ("DRAIN", |seen| seen.runs_while_leaving.push("one".to_owned())),
         ("ENDED", |seen| seen.ended.push("node-0".to_owned())),
         ("RECOVER", |seen| seen.not_recovered.push("entry 0".to_owned())),
