List again after changes that can't be read

A node kept an old configuration (CONFIG) while its watch returned changes that it can't read, for example more than 8 MB of entries that another writer had left within the time since its last read: it asked for the same changes again and again, until the store had dropped that history.

Evidence: the_configuration_is_found_behind_changes_that_are_too_large fails before in each call, and passes now.

A list has pages of 1 MB, so the next call is a list, for the configuration, the objects of the product and the evacuations.

--- a/crates/node/src/sync.rs
+++ b/crates/node/src/sync.rs
@@ -94,6 +94,8 @@
             }
             Err(StoreError::RevisionCompacted) => listed = false,
             Err(err) => {
+                // The same changes would be unreadable again, for as long as the store keeps its history.
+                listed &= !matches!(err, StoreError::Invalid(_));
                 node.platform.record_failure(&err);
                 match node.interfaces.config_source {
                     // The task that follows the configuration finds out when the platform is back.
