Date confirmations of the configuration by a clock that counts suspensions

A machine that is suspended for some seconds takes its configuration for confirmed by the platform just before, and tells other nodes so, which then don't ask either (CONFIG): the steady clock does not count a suspension.

The platform link dates confirmations by the clock since boot (rustix, which was in the lock file already).

--- a/crates/node/src/clock.rs
+++ b/crates/node/src/clock.rs
@@ -1,9 +1,10 @@
-//! The monotonic clock of this process.
+//! The clocks of this process.
 
 use std::time::{Duration, Instant};
 
 use model::Time;
 use peer::Clock;
+use rustix::time::{ClockId, Timespec, clock_gettime};
 
 /// Delay that stands for a time too far in the future to represent.
 const FAR_FUTURE: Duration = Duration::from_secs(86_400);
@@ -33,3 +34,25 @@
         Time::ZERO + self.start.elapsed()
     }
 }
+
+/// Clock that starts at zero with the process and, unlike [`MonotonicClock`], counts the time for which the
+/// machine is suspended.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct SuspendAwareClock {
+    start: Duration,
+}
+
+impl SuspendAwareClock {
+    pub(crate) fn new() -> SuspendAwareClock {
+        SuspendAwareClock { start: since_boot() }
+    }
+
+    pub(crate) fn now(&self) -> Time {
+        Time::ZERO + since_boot().saturating_sub(self.start)
+    }
+}
+
+fn since_boot() -> Duration {
+    let Timespec { tv_sec, tv_nsec } = clock_gettime(ClockId::Boottime);
+    Duration::new(tv_sec as u64, tv_nsec as u32)
+}
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -114,7 +114,7 @@
             route: None,
             account: None,
             revisions,
-            config_age: node.platform.config_age(revisions.imported, started),
+            config_age: node.platform.config_age(revisions.imported),
             attempts: Vec::new(),
             end: RequestEnd::CallerGone,
             duration: Duration::ZERO,
--- a/crates/node/src/gossip.rs
+++ b/crates/node/src/gossip.rs
@@ -114,7 +114,7 @@
 }
 
 async fn compare_revisions(node: Arc<Node>, peer: Arc<Peer>) {
-    let asked_at = node.now();
+    let asked_at = node.platform.now();
     match request_revisions(&node, &peer).await {
         Ok(None) => peer.record_success(),
         Ok(Some(PeerConfig { revisions: peer_revisions, confirmed_ago })) => {
@@ -122,7 +122,7 @@
             // The peer counts the time from its reply, which is later than the request.
             let confirmed_at = confirmed_ago.map(|ago| asked_at - ago);
             let imported = peer_revisions.imported;
-            let heard = node.platform.hear_of_config(imported, confirmed_at, node.now());
+            let heard = node.platform.hear_of_config(imported, confirmed_at);
             pass_on(&node, heard);
             if !feeds_to_supply(&node, peer_revisions).is_empty() && peer.begin_supply() {
                 tokio::spawn(supply(Arc::clone(&node), Arc::clone(&peer)));
@@ -139,7 +139,7 @@
 /// one.
 pub(crate) fn own_config(node: &Node) -> (Revisions, Option<Duration>) {
     let revisions = read(&node.config).revisions();
-    (revisions, node.platform.config_age(revisions.imported, node.now()))
+    (revisions, node.platform.config_age(revisions.imported))
 }
 
 /// Tells a few peers of a later confirmation of the configuration. A newer revision is announced once
@@ -155,7 +155,7 @@
 /// node. The age in its request can't be taken over, as the request may have been on its way for long.
 pub(crate) fn compare_if_older(node: &Arc<Node>, from: &NodeName, confirmed_ago: Option<Duration>) {
     let own = read(&node.config).imported.revision();
-    let is_older = |ago: &Duration| node.platform.is_config_older_than(*ago, own, node.now());
+    let is_older = |ago: &Duration| node.platform.is_config_older_than(*ago, own);
     if confirmed_ago.as_ref().is_some_and(is_older)
         && let Some(peer) = node.peers.find(from.as_str())
     {
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -385,7 +385,7 @@
 pub(crate) fn catch_up_if_behind(node: &Arc<Node>, from: &NodeName, peer_revisions: Revisions) {
     let own = read(&node.config).revisions();
     if peer_revisions.imported > own.imported {
-        let _ = node.platform.hear_of_config(peer_revisions.imported, None, node.now());
+        let _ = node.platform.hear_of_config(peer_revisions.imported, None);
     }
     if peer_revisions.is_ahead_of(own)
         && let Some(peer) = node.peers.find(from.as_str())
--- a/crates/node/src/platform_link.rs
+++ b/crates/node/src/platform_link.rs
@@ -12,6 +12,7 @@
 use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
+use crate::clock::SuspendAwareClock;
 use crate::shared::lock;
 
 /// Longest first delay before a failed call to the platform is retried.
@@ -31,6 +32,9 @@
     reachable: Arc<watch::Sender<bool>>,
     loaded: Arc<watch::Sender<bool>>,
     freshness: Arc<Mutex<Freshness>>,
+    /// Dates confirmations. A node that was suspended must not take its configuration for confirmed since then,
+    /// and tell others so.
+    clock: SuspendAwareClock,
     newer_config_known: Arc<Notify>,
 }
 
@@ -41,6 +45,7 @@
             reachable: Arc::new(watch::Sender::new(false)),
             loaded: Arc::new(watch::Sender::new(false)),
             freshness: Arc::default(),
+            clock: SuspendAwareClock::new(),
             newer_config_known: Arc::default(),
         }
     }
@@ -64,21 +69,21 @@
         }
     }
 
+    /// Time by the clock that dates confirmations of the configuration.
+    pub(crate) fn now(&self) -> Time {
+        self.clock.now()
+    }
+
     /// Records that the platform had no newer imported configuration than `revision` at the time `at`,
-    /// in an answer that arrived at `now`.
-    pub(crate) fn confirm_config(&self, revision: Revision, at: Time, now: Time) -> Heard {
-        lock(&self.freshness).confirm(revision, at, now)
+    /// in an answer that has just arrived.
+    pub(crate) fn confirm_config(&self, revision: Revision, at: Time) -> Heard {
+        lock(&self.freshness).confirm(revision, at, self.now())
     }
 
     /// Records that a peer has `revision` of the imported configuration, and when it was known to be the
     /// newest one.
-    pub(crate) fn hear_of_config(
-        &self,
-        revision: Revision,
-        confirmed_at: Option<Time>,
-        now: Time,
-    ) -> Heard {
-        let heard = lock(&self.freshness).hear_of(revision, confirmed_at, now);
+    pub(crate) fn hear_of_config(&self, revision: Revision, confirmed_at: Option<Time>) -> Heard {
+        let heard = lock(&self.freshness).hear_of(revision, confirmed_at, self.now());
         if heard == Heard::NewerRevision {
             self.newer_config_known.notify_one();
         }
@@ -87,13 +92,13 @@
 
     /// Whether a peer whose configuration was confirmed `ago` knows considerably more than a node that
     /// has the revision `own`.
-    pub(crate) fn is_config_older_than(&self, ago: Duration, own: Revision, now: Time) -> bool {
-        lock(&self.freshness).is_older_than(ago, own, now)
+    pub(crate) fn is_config_older_than(&self, ago: Duration, own: Revision) -> bool {
+        lock(&self.freshness).is_older_than(ago, own, self.now())
     }
 
     /// Whether a node that has the revision `own` of the imported configuration asks the platform now.
-    pub(crate) fn config_step(&self, own: Revision, now: Time) -> FreshnessStep {
-        lock(&self.freshness).next_step(own, now)
+    pub(crate) fn config_step(&self, own: Revision) -> FreshnessStep {
+        lock(&self.freshness).next_step(own, self.now())
     }
 
     /// Waits until a newer imported configuration is heard of.
@@ -102,8 +107,8 @@
     }
 
     /// Time since `own` was known to be the newest revision of the imported configuration.
-    pub(crate) fn config_age(&self, own: Revision, now: Time) -> Option<Duration> {
-        lock(&self.freshness).age(own, now)
+    pub(crate) fn config_age(&self, own: Revision) -> Option<Duration> {
+        lock(&self.freshness).age(own, self.now())
     }
 
     /// Records that the configuration and the stored objects have been received, from the platform or
--- a/crates/node/src/sync.rs
+++ b/crates/node/src/sync.rs
@@ -210,7 +210,7 @@
             false => Duration::ZERO,
         };
         let source = Arc::clone(&source);
-        let asked_at = node.now();
+        let asked_at = node.platform.now();
         match run_blocking(move || source.wait_for_newer(since, wait)).await {
             Ok(newer) => {
                 retries.reset();
@@ -243,9 +243,9 @@
 /// Records that the platform had nothing newer than `newest`, as its answer to a watch shows. A watch
 /// that ended with its wait time looked at the store at the end of it.
 fn confirm_config(node: &Node, newest: Revision, asked_at: Time, wait: Duration) {
-    let (now, end) = (node.now(), asked_at + wait);
+    let (now, end) = (node.platform.now(), asked_at + wait);
     let confirmed_at = if now >= end { end } else { asked_at };
-    let heard = node.platform.confirm_config(newest, confirmed_at, now);
+    let heard = node.platform.confirm_config(newest, confirmed_at);
     gossip::pass_on(node, heard);
 }
 
@@ -260,9 +260,9 @@
 async fn wait_to_ask_for_config(node: &Node) {
     while node.platform.is_reachable() && !is_config_reader(node) {
         let own = read(&node.config).imported.revision();
-        let until = match node.platform.config_step(own, node.now()) {
+        let until = match node.platform.config_step(own) {
             FreshnessStep::AskPlatform => return,
-            FreshnessStep::TrustUntil(until) => node.clock.to_instant(until),
+            FreshnessStep::TrustUntil(until) => Instant::now() + until.since(node.platform.now()),
         };
         let until = until + random_between(Duration::ZERO, MAX_CONFIRM_DELAY);
         tokio::select! {
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -63,7 +63,7 @@
             metrics.store_era.set(seen.era as i64);
             metrics.store_era_seen_seconds.set(at.as_secs() as i64);
         }
-        let age = node.platform.config_age(imported, now);
+        let age = node.platform.config_age(imported);
         metrics.imported_age_ms.set(age.map_or(-1, |age| age.as_millis() as i64));
         let withheld = node.guard.withholds_initial_retries(now);
         metrics.initial_retries_withheld.set(i64::from(withheld));
