Keep the size of a service while an own endpoint is away

The largest number of endpoints was forgotten as soon as a node had no endpoint of the service, so an endpoint that was removed and came back divided by the present number again. It is kept for as long as retries count.

The queue check looks at the services of the own endpoints only, instead of copying the whole table each time.

--- a/crates/membership/src/announcements.rs
+++ b/crates/membership/src/announcements.rs
@@ -312,9 +312,14 @@
         self.endpoints.get(name).map(|known| &known.endpoint)
     }
 
+    /// Returns the service of each endpoint.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceName> {
+        self.endpoints.values().map(|known| &known.endpoint.service)
+    }
+
     /// Returns the number of endpoints of a service.
     pub fn endpoints_of(&self, service: &ServiceName) -> usize {
-        self.endpoints.values().filter(|known| known.endpoint.service == *service).count()
+        self.services().filter(|known| *known == service).count()
     }
 
     /// Returns the names of the endpoints whose upstream has announced this state, whether or not this node
--- a/crates/node/src/retry_limits.rs
+++ b/crates/node/src/retry_limits.rs
@@ -1,7 +1,7 @@
 //! Limits on the retries that the guard of this node accepts.
 
-use admission::{RecentPeak, RetryLimit};
-use model::{Endpoint, Percent, RouteName, ServiceName};
+use admission::{RETRY_WINDOW, RecentPeak, RetryLimit};
+use model::{Endpoint, Percent, RouteName, ServiceName, Time};
 
 use crate::shared::{Node, SharedMap, lock, read};
 
@@ -19,29 +19,43 @@
 /// How many endpoints the services of this node's own endpoints have had lately.
 #[derive(Default)]
 pub(crate) struct ServiceSizes {
-    peaks: SharedMap<ServiceName, RecentPeak>,
+    services: SharedMap<ServiceName, ServiceSize>,
+}
+
+#[derive(Default)]
+struct ServiceSize {
+    peak: RecentPeak,
+    /// Time until which the peak is needed although no endpoint of the service is at this node: one that is
+    /// removed may come back.
+    kept_until: Time,
 }
 
 impl ServiceSizes {
-    /// Records the present sizes, also of services without calls, and forgets other services.
+    /// Records the present sizes, also of services without calls, and forgets those that this node has had no
+    /// endpoint of for a while.
     pub(crate) fn observe_all(&self, node: &Node) {
-        let own: Vec<ServiceName> =
-            lock(&node.announcements).table().into_iter().map(|own| own.service).collect();
-        lock(&self.peaks).retain(|service, _| own.contains(service));
+        let own: Vec<ServiceName> = lock(&node.announcements).services().cloned().collect();
         for service in &own {
             self.observe(node, service);
         }
+        let (now, directory) = (node.now(), read(&node.directory));
+        lock(&self.services).retain(|service, size| {
+            size.peak.observe(directory.endpoints_of(service).len(), now);
+            now < size.kept_until
+        });
     }
 
-    /// Records the present size of a service, and returns the largest one lately.
+    /// Records the present size of the service of an own endpoint, and returns the largest one lately.
     fn observe(&self, node: &Node, service: &ServiceName) -> usize {
-        let size = read(&node.directory).endpoints_of(service).len();
-        let mut peaks = lock(&self.peaks);
+        let endpoints = read(&node.directory).endpoints_of(service).len();
+        let mut services = lock(&self.services);
         let now = node.now();
-        match peaks.get_mut(service) {
-            Some(peak) => peak.observe(size, now),
-            None => peaks.entry(service.clone()).or_default().observe(size, now),
-        }
+        let size = match services.get_mut(service) {
+            Some(size) => size,
+            None => services.entry(service.clone()).or_default(),
+        };
+        size.kept_until = now + RETRY_WINDOW;
+        size.peak.observe(endpoints, now)
     }
 }
 
