--- a/crates/zinniacross/tests/common/imported.rs
+++ b/crates/zinniacross/tests/common/imported.rs
@@ -93,6 +93,15 @@
         if all_known && ended.is_none() {
             return;
         }
+        self.print_logs();
+        match ended {
+            Some(index) => panic!("the process of node {index} has ended"),
+            None => panic!("the nodes don't know each other after {SOON:?}"),
+        }
+    }
+
+    /// Prints how many others each node knows, and its log.
+    pub fn print_logs(&self) {
         for (index, node) in self.nodes.iter().enumerate() {
             let log = std::fs::read_to_string(&node.log).unwrap_or_default();
             println!(
@@ -100,10 +109,6 @@
                 self.metric(index, "members")
             );
         }
-        match ended {
-            Some(index) => panic!("the process of node {index} has ended"),
-            None => panic!("the nodes don't know each other after {SOON:?}"),
-        }
     }
 
     /// Kills all nodes and starts them again at once.
--- a/crates/zinniacross/tests/restores.rs
+++ b/crates/zinniacross/tests/restores.rs
@@ -178,7 +178,13 @@
     wait_for_version(&fleet, &[PAUSED], 12);
     wait_for_era(&fleet, &[PAUSED], 2);
     check_for(WATCHED, &ALL, |node| {
-        fleet.stored("account.old").is_empty() && !accepts(&fleet, node, "b")
+        let stored = fleet.stored("account.old");
+        let is_undone = !stored.is_empty() || accepts(&fleet, node, "b");
+        if is_undone {
+            println!("stored: {stored}");
+            fleet.print_logs();
+        }
+        !is_undone
     });
     let written: u64 = ALL.iter().map(|node| fleet.metric(*node, "objects_rewritten_total")).sum();
     assert_eq!(written, 1, "one node writes a lost object again");
