--- a/crates/admission/tests/retries.rs
+++ b/crates/admission/tests/retries.rs
@@ -2,10 +2,12 @@
 
 mod common;
 
+use std::collections::BTreeSet;
+
 use admission::{Attempt, AttemptKind, Decision, Guard, GuardLimits, InitialRetries, RetryLimit};
 use model::{EndpointName, EndpointState, Percent, ResultCode, Slots, Time};
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
+use proptest::test_runner::{RngSeed, TestCaseError};
 
 use common::{FIRST, allow, attempt_at, id, ms};
 
@@ -210,6 +212,44 @@
     assert_eq!((0..10).filter(|_| service.retry(8, 20_000)).count(), 2);
 }
 
+/// Plays calls, starts of guards as (second, guard), and returns of all endpoints, and checks each 10 s.
+fn check_starts(
+    rates: &[u64],
+    starts: &BTreeSet<(usize, usize)>,
+    returns: &BTreeSet<usize>,
+    endpoints: usize,
+    outage: usize,
+) -> Result<(), TestCaseError> {
+    let mut service = Service::with_endpoints(endpoints);
+    let mut started = vec![0; endpoints];
+    let mut granted = Vec::new();
+    for (second, calls) in rates.iter().enumerate() {
+        let start = second as u64 * 1000;
+        for (_, guard) in starts.range((second, 0)..(second + 1, 0)) {
+            let guard = guard % endpoints;
+            service.restart_one(guard, started[guard], start);
+            started[guard] = start;
+        }
+        if returns.contains(&second) {
+            service.remove_and_return(start);
+        }
+        for call in 0..*calls {
+            service.call(call as usize % endpoints, FIRST, start + call * 1000 / calls);
+        }
+        let is_outage = second >= outage;
+        granted.push(if is_outage { service.retries_at(start + 999) as u64 } else { 0 });
+    }
+    let sum = |all: &[u64], from: usize| all.iter().skip(from).take(10).sum::<u64>();
+    for from in 0..40_usize {
+        let window_starts = [from, from.saturating_sub(5), from.saturating_sub(10)];
+        let requests =
+            window_starts.into_iter().map(|from| sum(rates, from)).max().unwrap_or_default();
+        let (retries, bound) = (sum(&granted, from), requests / 5 + ALLOWED_SPARE_RETRIES);
+        prop_assert!(retries <= bound, "{retries} retries from second {from}, bound {bound}");
+    }
+    Ok(())
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 300,
@@ -270,32 +310,20 @@
         endpoints in 1..=12usize,
         outage in 0..45usize,
     ) {
-        let mut service = Service::with_endpoints(endpoints);
-        let mut started = vec![0; endpoints];
-        let mut granted = Vec::new();
-        for (second, calls) in rates.iter().enumerate() {
-            let start = second as u64 * 1000;
-            for (_, guard) in starts.range((second, 0)..(second + 1, 0)) {
-                let guard = guard % endpoints;
-                service.restart_one(guard, started[guard], start);
-                started[guard] = start;
-            }
-            if returns.contains(&second) {
-                service.remove_and_return(start);
-            }
-            for call in 0..*calls {
-                service.call(call as usize % endpoints, FIRST, start + call * 1000 / calls);
-            }
-            let is_outage = second >= outage;
-            granted.push(if is_outage { service.retries_at(start + 999) as u64 } else { 0 });
-        }
-        let sum = |all: &[u64], from: usize| all.iter().skip(from).take(10).sum::<u64>();
-        for from in 0..40_usize {
-            let window_starts = [from, from.saturating_sub(5), from.saturating_sub(10)];
-            let requests = window_starts.into_iter().map(|from| sum(&rates, from)).max().unwrap_or_default();
-            let (retries, bound) = (sum(&granted, from), requests / 5 + ALLOWED_SPARE_RETRIES);
-            prop_assert!(retries <= bound, "{retries} retries from second {from}, bound {bound}");
-        }
+        check_starts(&rates, &starts, &returns, endpoints, outage)?;
+    }
+
+    /// The same with up to 400 calls a second, so that two bursts in 10 s may lie apart.
+    #[test]
+    fn retries_beside_large_bursts_stay_within_the_limit_of_the_users(
+        rates in prop::collection::vec(prop_oneof![Just(0..1u64), Just(0..20), Just(0..400)], 50)
+            .prop_flat_map(|rates| rates),
+        starts in prop::collection::btree_set((10..45usize, 0..12usize), 0..24),
+        returns in prop::collection::btree_set(10..45usize, 0..6),
+        endpoints in 1..=12usize,
+        outage in 0..45usize,
+    ) {
+        check_starts(&rates, &starts, &returns, endpoints, outage)?;
     }
 
     /// Guards against spare retries that add up over starts of the guards, beyond those that users allow.
